--- /dev/null
+++ b/quartzford/interface.py
@@ -0,0 +1,289 @@
+"""What the decision module takes in and gives out: settings, events, actions.
+
+Times are milliseconds on the caller's clock. Servers and requests are named by the caller.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from typing import NamedTuple
+
+EFFECTS = ("free", "keyed", "unsafe")
+GROUPS = ("all", "zone", "cell")
+
+
+def _not_negative(record: object, *names: str) -> None:
+    for name in names:
+        value = getattr(record, name)
+        if not isinstance(value, int | float) or not 0 <= value < float("inf"):
+            raise ValueError(f"{name}: {value!r} is not a figure of 0 or more")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceClass:
+    """A request class: what an answer is worth, how long it may take, whether it may run again."""
+
+    name: str
+    aim_ms: float
+    deadline_ms: float
+    worth: float = 1.0
+    late_worth: float = 0.0  # fraction of the worth left after the aim
+    effect: str = "unsafe"  # free: may be repeated; keyed: repeats are dropped in its group; unsafe
+    group: str = "all"  # where repeats of a keyed request are dropped: all, zone or cell
+    window_ms: float = 0.0  # for how long, from the first send that may have run
+    streaming: bool = False
+    aim_stretch: float = 0.0  # the aim grows by this multiple of the request's own work
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "aim_ms", "deadline_ms", "worth", "late_worth", "window_ms", "aim_stretch")
+        if self.aim_ms <= 0 or self.deadline_ms <= 0:
+            raise ValueError("aim_ms, deadline_ms: must be above 0")
+        if self.effect not in EFFECTS:
+            raise ValueError(f"effect: {self.effect!r} is not one of {EFFECTS}")
+        if self.group not in GROUPS:
+            raise ValueError(f"group: {self.group!r} is not one of {GROUPS}")
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A tenant and the rate, over all balancers, that counts as within its share."""
+
+    name: str
+    quota_per_s: float
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "quota_per_s")
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The figures of the four rules."""
+
+    answer_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    ask_every_ms: float = 10_000.0  # unsubscribed, a balancer counts as told after this long
+    start_capacity: float = 1.0  # fraction of its capacity at which a server starts
+    cold_ms: float = 0.0
+    tip_multiple: float = 2.0  # sent more than this multiple of what it can do ...
+    fall_ms: float = 1_000.0
+
+    def __post_init__(self) -> None:
+        _not_negative(self, *(f.name for f in fields(self)))
+        if not 0 < self.start_capacity <= 1:
+            raise ValueError("start_capacity: must be above 0 and at most 1")
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the site permits."""
+
+    max_attempts: int = 1
+    may_cancel: bool = False
+    may_duplicate: bool = False
+    may_probe: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+    multiplex: int = 1
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "max_retry_after_ms")
+        if self.max_attempts < 1:
+            raise ValueError("max_attempts: must be 1 or more")
+        if self.multiplex < 1:
+            raise ValueError("multiplex: must be 1 or more")
+
+
+@dataclass(frozen=True, slots=True)
+class Goal:
+    """How the parts of the result are weighed."""
+
+    whole: float = 1.0
+    worst_window: float = 0.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+
+    def __post_init__(self) -> None:
+        _not_negative(self, *(f.name for f in fields(self)))
+
+
+@dataclass(frozen=True, slots=True)
+class Prices:
+    """What is taken off the result."""
+
+    cross_zone: float = 0.0
+    waste: float = 0.0
+    late_fail: float = 0.0
+    probe: float = 0.0
+    connection: float = 0.0
+    handshake: float = 0.0
+
+    def __post_init__(self) -> None:
+        _not_negative(self, *(f.name for f in fields(self)))
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All that a balancer is told at start."""
+
+    zone: str
+    balancers: int
+    classes: tuple[ServiceClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    rules: Rules = field(default_factory=Rules)
+    limits: Limits = field(default_factory=Limits)
+    goal: Goal = field(default_factory=Goal)
+    prices: Prices = field(default_factory=Prices)
+    asks_list: bool = False  # the list must be asked for
+    report_fields: tuple[str, ...] = ()
+    report_by_probe: bool = False
+    sized: bool = False  # the list's sizes tell servers apart
+    over_share_worth: float = 1.0
+    worth_by_work: bool = False
+    warm_keys: bool = False
+    marks_retry: bool = False
+    tick_ms: float = 1.0
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "over_share_worth", "tick_ms")
+        if self.balancers < 1:
+            raise ValueError("balancers: must be 1 or more")
+        if not self.classes:
+            raise ValueError("classes: at least one is needed")
+
+
+# Events
+
+
+class Entry(NamedTuple):
+    """One server as the list tells of it."""
+
+    server: str
+    zone: str
+    kind: str
+    cell: int
+    state: str  # ready, draining or gone
+    units: float
+    started_ms: float
+
+
+class ListUpdate(NamedTuple):
+    """News of the servers. whole: the complete list; changes; stale: a complete list, maybe old; failed."""
+
+    how: str
+    entries: tuple[Entry, ...] = ()
+
+
+class Request(NamedTuple):
+    """A client's request that this balancer now owes one final answer."""
+
+    request: int
+    service_class: str
+    budget_ms: float
+    tenant: str = ""
+    key: str = ""
+    work_ms: float = 0.0
+    repeat: bool = False
+    keyed: bool = True  # a request of a keyed class carries its key
+
+
+class Timer(NamedTuple):
+    """A timer set by Wake has come due."""
+
+    token: int
+
+
+class Outcome(NamedTuple):
+    """How an attempt ended."""
+
+    request: int
+    attempt: int
+    server: str
+    code: str
+    spent_ms: float
+    final: bool  # the request has finished; if not, it is still owed its answer
+    report: tuple[float, ...] = ()
+
+
+class Started(NamedTuple):
+    """The answer of a streamed class has begun; the attempt belongs to the client now."""
+
+    request: int
+    attempt: int
+    server: str
+    spent_ms: float
+
+
+class Gone(NamedTuple):
+    """The client has left; nothing is owed any more."""
+
+    request: int
+
+
+class Probed(NamedTuple):
+    """The result of a Probe."""
+
+    server: str
+    code: str
+    spent_ms: float
+    report: tuple[float, ...] = ()
+
+
+Event = ListUpdate | Request | Timer | Outcome | Started | Gone | Probed
+
+
+# Actions
+
+
+class Send(NamedTuple):
+    """Begin an attempt; attempts of a request count from 0 in the order of their sends."""
+
+    request: int
+    server: str
+    time_out_ms: float
+    finish_ms: float = 0.0  # an answer that has begun by then is waited for until this
+
+
+class Refuse(NamedTuple):
+    """Final answer: not run, a further try is harmless. 0: no advice on when."""
+
+    request: int
+    pause_ms: float
+
+
+class Fail(NamedTuple):
+    """Final answer: failed, nothing promised."""
+
+    request: int
+
+
+class Cancel(NamedTuple):
+    """Stop waiting for an attempt."""
+
+    request: int
+    attempt: int
+
+
+class Probe(NamedTuple):
+    """Check a server."""
+
+    server: str
+
+
+class Wake(NamedTuple):
+    """Ask for a Timer event."""
+
+    after_ms: float
+    token: int
+
+
+class Watch(NamedTuple):
+    """Ask for the list's changes from now on."""
+
+
+class Log(NamedTuple):
+    """A line for the operators."""
+
+    text: str
+
+
+Action = Send | Refuse | Fail | Cancel | Probe | Wake | Watch | Log
--- /dev/null
+++ b/quartzford/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real balancer's sockets."""
--- /dev/null
+++ b/quartzford/net/downstream.py
@@ -0,0 +1,465 @@
+"""Client connections: parsing requests, writing answers."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+import struct
+from collections import deque
+from time import monotonic
+from typing import TYPE_CHECKING, Any, cast
+
+import httptools
+
+from quartzford import interface as io
+
+if TYPE_CHECKING:
+    from quartzford.net.proxy import Proxy
+    from quartzford.net.upstream import Attempt
+
+HEAD_BYTES = 32 * 1024
+BODY_BYTES = 32 * 1024 * 1024
+HEAD_S = 6.0
+BODY_S = 10.0  # a body comes at 64 kB a second; this long with no byte is a stall
+READ_S = 20.0  # a client that takes no byte of its answer for this long is given up
+LINGER_S = 1.0  # after an answer to a request that was not read to its end
+PAUSED_S = 1.0
+PIPELINED = 16
+HIGH_BYTES = 16 * 1024
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}  # fmt: skip
+# Fields that are hop-by-hop, or that this balancer frames or counts anew for each attempt
+DROPPED = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length"
+    b" x-time-left".split()
+)
+READ = {
+    b"x-service-class": "name",
+    b"x-account": "tenant",
+    b"x-time-left": "left",
+    b"x-repeat": "repeat",
+    b"x-weight-hint": "hint",
+    b"idempotency-key": "keyed",
+    b"cookie": "cookie",
+    b"connection": "connection",
+    b"transfer-encoding": "framing",
+    b"expect": "expect",
+    b"content-length": "length",
+}
+RESET = struct.pack("ii", 1, 0)
+
+
+def read_time_left(text: str) -> float | None:
+    """X-Time-Left in milliseconds; None when it can't be read."""
+    try:
+        value = float(text[:-1]) * {"m": 1.0, "u": 0.001}[text[-1:]]
+    except (ValueError, KeyError):
+        return None
+    return value if 0 <= value < 1e9 else None
+
+
+def read_cookie(text: str, name: str) -> str:
+    for part in text.split(";"):
+        key, _, value = part.strip().partition("=")
+        if key == name:
+            return value
+    return ""
+
+
+def read_number(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if 0 <= value < 1e12 else 0.0
+
+
+class Exchange:
+    """A client's request, from its last byte to its final answer."""
+
+    __slots__ = (
+        "number", "client", "line", "fields", "body", "deadline", "attempt", "sends", "done", "keep",
+        "old", "bodiless", "streams", "charged", "lengthless",
+    )  # fmt: skip
+
+    def __init__(self, client: Client, line: bytes, fields: bytes, body: bytes | bytearray) -> None:
+        self.client = client
+        self.line = line
+        self.fields = fields
+        self.body = body
+        self.number = -1
+        self.deadline = math.inf
+        self.attempt: Attempt | None = None
+        self.sends = 0
+        self.done = False
+        self.keep = self.old = self.bodiless = self.streams = self.lengthless = False
+        self.charged = 0
+
+    def charge(self, size: int) -> None:
+        self.client.proxy.budget.used += size
+        self.charged += size
+
+    def release(self) -> None:
+        self.client.proxy.budget.used -= self.charged
+        self.charged = 0
+
+    def upstream_head(self, left: float) -> bytes:
+        wait = max(0, int(left * 1_000_000))
+        framing = b"" if self.lengthless else b"Content-Length: %d\r\n" % len(self.body)
+        return b"%b%bX-Time-Left: %du\r\n%b\r\n" % (self.line, self.fields, wait, framing)
+
+
+class Client(asyncio.Protocol):
+    """One client connection; it carries one request at a time, later ones wait their turn."""
+
+    __slots__ = (
+        "proxy", "transport", "parser", "exchange", "waiting", "target", "fields", "read", "head_bytes",
+        "body", "body_bytes", "in_head", "in_message", "error", "since", "moved", "stuck", "backlog", "held",
+        "closing", "chunked", "paused_at",
+    )  # fmt: skip
+    transport: asyncio.Transport
+
+    def __init__(self, proxy: Proxy) -> None:
+        self.proxy = proxy
+        self.parser: Any = httptools.HttpRequestParser(self)
+        self.exchange: Exchange | None = None
+        self.waiting: deque[tuple[Exchange, io.Request | None]] = deque()
+        self.in_head = self.in_message = False
+        self.error = 0
+        self.since = self.moved = monotonic()
+        self.stuck = False  # the client reads more slowly than its answer comes
+        self.backlog = 0
+        self.held: Exchange | None = None
+        self.closing = False
+        self.chunked = False
+        self.paused_at = 0.0
+        self.head_bytes = self.body_bytes = 0
+        self.body: bytes | bytearray = b""
+
+    # ---- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=HIGH_BYTES)
+        clients = self.proxy.clients
+        clients[self] = None
+        if len(clients) > self.proxy.most_clients:
+            self._make_room()
+
+    def _make_room(self) -> None:
+        victim = next((c for c in self.proxy.clients if c.idle() and c is not self), None)
+        if victim is None:
+            victim = next((c for c in self.proxy.clients if c.exchange is None and c is not self), None)
+        if victim is not None:
+            victim.transport.abort()
+
+    def idle(self) -> bool:
+        return self.exchange is None and not self.in_message and not self.closing and self.held is None
+
+    def data_received(self, data: bytes) -> None:
+        if self.closing:
+            return
+        self.moved = monotonic()
+        if not self.in_message:
+            self.since = self.moved
+            self.in_head = self.in_message = True
+            self.head_bytes = 0
+        if self.in_head:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            if self.exchange is None:
+                self.error = self.error or 400
+            else:  # answered as the plain request that it also is
+                self.exchange.keep = False
+        except httptools.HttpParserError:
+            self.error = self.error or 400
+        if self.in_head and self.in_message and self.head_bytes > HEAD_BYTES:
+            self.error = self.error or 431
+        if self.error and self.exchange is None and not self.waiting:
+            self.reject(self.error)
+
+    def eof_received(self) -> None:
+        self._left()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.proxy.clients.pop(self, None)
+        self._left()
+        self.parser = None
+        self.closing = True
+        self.stuck = False
+        self._unhold()
+
+    def _left(self) -> None:
+        self._forget_waiting()
+        self._drop_body()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self.proxy.gone(exchange)
+
+    def pause_writing(self) -> None:
+        self.stuck = True
+        self.moved = monotonic()
+        exchange = self.exchange
+        if exchange is not None and exchange.attempt is not None and exchange.attempt.streaming:
+            exchange.attempt.pause(True)
+
+    def resume_writing(self) -> None:
+        self.stuck = False
+        self._unhold()
+        exchange = self.exchange
+        if exchange is not None and exchange.attempt is not None and exchange.attempt.streaming:
+            exchange.attempt.pause(False)
+
+    # ---- httptools
+
+    def on_message_begin(self) -> None:
+        self.in_head = self.in_message = True
+        self.target = b""
+        self.fields: list[tuple[bytes, bytes]] = []
+        self.read: dict[str, str] = {}
+        self.body, self.body_bytes = b"", 0
+        self.chunked = False
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        key = name.lower()
+        wanted = READ.get(key)
+        if wanted is not None:
+            self.read[wanted] = value.decode("latin-1")
+        if key not in DROPPED:
+            self.fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        read = self.read
+        if self.parser.get_method() == b"CONNECT":
+            self.error = self.error or 400
+        if sum(len(n) + len(v) + 4 for n, v in self.fields) + len(self.target) > HEAD_BYTES:
+            self.error = self.error or 431
+        if "framing" in read:
+            self.chunked = True
+            if read["framing"].strip().lower() != "chunked" or "length" in read:
+                self.error = self.error or 400  # two readers could frame this in two ways
+        elif "length" in read and int(read["length"]) > BODY_BYTES:
+            self.error = self.error or 413
+        if "expect" in read and not self.error and self.exchange is None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        if self.error:
+            return
+        size = self.body_bytes + len(data)
+        if size > BODY_BYTES:
+            self.error = 413
+            return self._drop_body()
+        if not self.body_bytes:
+            self.body = data
+        else:
+            if isinstance(self.body, bytes):
+                self.body = bytearray(self.body)
+            self.body += data
+        self.body_bytes = size
+        self.proxy.budget.used += len(data)
+        if self.proxy.budget.full():
+            self.paused_at = self.paused_at or monotonic()
+            self.transport.pause_reading()
+
+    def _drop_body(self) -> None:
+        self.proxy.budget.used -= self.body_bytes
+        self.body, self.body_bytes = b"", 0
+        self.paused_at = 0.0
+
+    def on_message_complete(self) -> None:
+        self.in_message = False
+        self.head_bytes = 0
+        if self.error:
+            return
+        exchange, request = self._whole()
+        if self.exchange is not None or self.waiting:
+            self.waiting.append((exchange, request))
+            if len(self.waiting) >= PIPELINED:
+                self.transport.pause_reading()
+        else:
+            self._take(exchange, request)
+
+    # ---- requests
+
+    def _whole(self) -> tuple[Exchange, io.Request | None]:
+        """The request that has just come whole."""
+        read, parser, proxy = self.read, self.parser, self.proxy
+        method = parser.get_method()
+        fields = self.fields
+        named = read.get("connection", "")
+        if "," in named or named.lower() not in ("", "close", "keep-alive"):
+            hop = {part.strip().lower().encode("latin-1") for part in named.split(",")}
+            fields = [(name, value) for name, value in fields if name.lower() not in hop]
+        line = b"%b %b HTTP/1.1\r\n" % (method, self.target)
+        exchange = Exchange(self, line, b"".join([b"%b: %b\r\n" % field for field in fields]), self.body)
+        exchange.keep = parser.should_keep_alive()
+        exchange.old = parser.get_http_version() == "1.0"
+        exchange.bodiless = method == b"HEAD"
+        exchange.lengthless = not self.body_bytes and "length" not in read and not self.chunked
+        exchange.charged, self.body, self.body_bytes = self.body_bytes, b"", 0
+        self.paused_at = 0.0
+        if self.target.partition(b"?")[0] == b"/_health":
+            return exchange, None
+        name = read.get("name", "")
+        kind = proxy.classes.get(name)
+        left = read_time_left(read.get("left", "").strip())
+        if left is None:
+            left = kind.deadline_ms if kind is not None else proxy.longest_ms
+        exchange.streams = kind is not None and kind.streaming
+        exchange.deadline = monotonic() + left / 1000.0
+        exchange.number = proxy.next_number()
+        request = io.Request(
+            exchange.number, name, left, read.get("tenant", ""), read_cookie(read.get("cookie", ""), "sid"),
+            read_number(read.get("hint", "")) / 1000.0, read.get("repeat", "").strip() == "1",
+            bool(read.get("keyed", "").strip()),
+        )  # fmt: skip
+        return exchange, request
+
+    def _take(self, exchange: Exchange, request: io.Request | None) -> None:
+        self.exchange = exchange
+        self.proxy.clients.pop(self, None)
+        self.proxy.clients[self] = None
+        if request is None:
+            return self.answer(exchange, 200 if self.proxy.ready() else 503)
+        self.proxy.arrived(exchange, request)
+
+    # ---- answers
+
+    def _head(self, exchange: Exchange, status: int, fields: list[bytes], framing: bytes) -> bytes:
+        exchange.keep = exchange.keep and not self.error and not self.proxy.draining()
+        if not exchange.keep:
+            framing += b"Connection: close\r\n"
+        elif exchange.old:
+            framing += b"Connection: keep-alive\r\n"
+        return b"HTTP/1.1 %d %b\r\n%b%b\r\n" % (status, REASONS[status], b"".join(fields), framing)
+
+    def answer(
+        self, exchange: Exchange, status: int, pause_ms: float = 0.0,
+        fields: list[bytes] | None = None, chunks: list[bytes] | None = None,
+    ) -> None:  # fmt: skip
+        if self.exchange is not exchange:
+            return exchange.release()
+        body = b"".join(chunks or ())
+        framing = b"Content-Length: %d\r\n" % len(body)
+        if pause_ms > 0:
+            framing += b"Retry-After: %.3f\r\n" % (pause_ms / 1000.0)
+        exchange.body = b""
+        self.transport.write(self._head(exchange, status, fields or [], framing) + body)
+        self._next(exchange)
+
+    def begin(self, exchange: Exchange, fields: list[bytes], length: int | None) -> None:
+        """Write the head of an answer that is streamed."""
+        exchange.body = b""
+        if length is not None:
+            framing, self.chunked = b"Content-Length: %d\r\n" % length, False
+        elif exchange.old:
+            framing, self.chunked, exchange.keep = b"", False, False
+        else:
+            framing, self.chunked = b"Transfer-Encoding: chunked\r\n", True
+        exchange.streams = self.chunked
+        exchange.lengthless = length is None and exchange.old
+        self.transport.write(self._head(exchange, 200, fields, framing))
+
+    def write(self, data: bytes) -> None:
+        exchange = self.exchange
+        if exchange is None or not data:
+            return
+        self.moved = monotonic()
+        if exchange.streams:
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self.transport.write(data)
+
+    def end(self, exchange: Exchange, whole: bool) -> None:
+        """The end of a streamed answer; one that is not whole ends so that the client can tell."""
+        if self.exchange is not exchange:
+            return exchange.release()
+        if not whole:
+            if exchange.lengthless:  # its close would look like the end: a reset does not
+                sock = self.transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            return self.transport.abort()
+        if exchange.streams:
+            self.transport.write(b"0\r\n\r\n")
+        self._next(exchange)
+
+    def _next(self, exchange: Exchange) -> None:
+        self.exchange = None
+        self._unhold()
+        if self.stuck:
+            self.held = exchange
+        else:
+            exchange.release()
+        if not exchange.keep:
+            self._forget_waiting()
+            self.closing, self.since = True, math.inf
+            self.transport.close()
+        elif self.waiting:
+            following, request = self.waiting.popleft()
+            if not self.waiting:
+                self.transport.resume_reading()
+            self._take(following, request)
+        elif self.error:
+            self.reject(self.error)
+
+    def _forget_waiting(self) -> None:
+        """Pipelined requests that will not be taken give their bytes back."""
+        for exchange, _ in self.waiting:
+            exchange.release()
+        self.waiting.clear()
+
+    def _unhold(self) -> None:
+        if self.held is not None:
+            self.held.release()
+            self.held = None
+
+    def reject(self, status: int) -> None:
+        """Answer what is no request, and close: no upstream hears of it."""
+        if self.closing or self.transport.is_closing():
+            return
+        self._drop_body()
+        self.closing = True
+        self.since = monotonic()
+        text = REASONS[status]
+        head = b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, text)
+        self.transport.write(head)
+        self.transport.resume_reading()
+        self.transport.write_eof()
+
+    # ---- housekeeping
+
+    def close_if_idle(self) -> None:
+        if self.idle():
+            self.closing, self.since = True, math.inf
+            self.transport.close()
+
+    def check(self, now: float) -> None:
+        if self.closing:
+            if now - self.since > LINGER_S or now - self.moved > READ_S:
+                self.transport.abort()
+        elif self.stuck:
+            size = self.transport.get_write_buffer_size()
+            if size != self.backlog:
+                self.backlog, self.moved = size, now
+            elif now - self.moved > READ_S:
+                self.transport.abort()
+        elif self.exchange is None and self.in_message:
+            if self.in_head and now - self.since > HEAD_S or not self.in_head and now - self.moved > BODY_S:
+                self.reject(408)
+            elif self.paused_at and not self.proxy.budget.full():
+                self.paused_at = 0.0
+                self.transport.resume_reading()
+            elif self.paused_at and now - self.paused_at > PAUSED_S:
+                self.reject(503)
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,80 @@
+"""Small tools for driving a Balancer by hand. Not a simulator: every event is written by the test."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from quartzford import interface as io
+from quartzford.logic import Balancer
+
+FREE = io.ServiceClass("read", 200.0, 800.0, worth=1.0, effect="free")
+KEYED = io.ServiceClass("book", 200.0, 800.0, worth=5.0, effect="keyed", group="cell", window_ms=60.0)
+ZONED = io.ServiceClass("hold", 200.0, 800.0, worth=5.0, effect="keyed", group="zone", window_ms=300.0)
+WIDE = io.ServiceClass("note", 200.0, 800.0, worth=5.0, effect="keyed", group="all", window_ms=300.0)
+UNSAFE = io.ServiceClass("pay", 200.0, 800.0, worth=8.0, effect="unsafe", window_ms=5_000.0)
+STREAM = io.ServiceClass("feed", 200.0, 800.0, worth=1.0, effect="free", streaming=True)
+CLASSES = (FREE, KEYED, ZONED, WIDE, UNSAFE, STREAM)
+RULES = io.Rules(
+    answer_slack_ms=20.0,
+    drain_grace_ms=250.0,
+    ask_every_ms=10_000.0,
+    start_capacity=0.2,
+    cold_ms=10_000.0,
+    tip_multiple=3.0,
+    fall_ms=2_000.0,
+)
+Actions = list[io.Action]
+ZONES = ("north", "south")
+
+
+def settings(**changes: object) -> io.Settings:
+    """Settings of a small made-up site."""
+    values: dict[str, object] = {
+        "zone": "north",
+        "balancers": 1,
+        "classes": CLASSES,
+        "rules": RULES,
+        "limits": io.Limits(max_attempts=4, may_cancel=True),
+    }
+    values.update(changes)
+    return io.Settings(**values)  # type: ignore[arg-type]
+
+
+def entry(number: int, state: str = "ready", started: float = 0.0, units: float = 1.0) -> io.Entry:
+    """Server s<number>; cells of two, zones in turn by cell."""
+    cell = number // 2
+    return io.Entry(f"s{number}", ZONES[cell % 2], "std", cell, state, units, started)
+
+
+def listed(numbers: Iterable[int], how: str = "stale", started: float = 0.0) -> io.ListUpdate:
+    return io.ListUpdate(how, tuple(entry(n, started=started) for n in numbers))
+
+
+def started(servers: int = 4, seed: int = 7, **changes: object) -> Balancer:
+    """A balancer that knows so many warm servers."""
+    balancer = Balancer(settings(**changes), seed)
+    balancer.handle(0.0, listed(range(servers)))
+    return balancer
+
+
+def sends(actions: list[io.Action]) -> list[io.Send]:
+    return [a for a in actions if isinstance(a, io.Send)]
+
+
+def finals(actions: list[io.Action]) -> list[io.Action]:
+    return [a for a in actions if isinstance(a, io.Refuse | io.Fail)]
+
+
+def ask(balancer: Balancer, now: float, number: int, name: str = "read", budget: float = 400.0) -> Actions:
+    return balancer.handle(now, io.Request(number, name, budget))
+
+
+def outcome(send: io.Send, attempt: int, code: str, spent: float, final: bool = False) -> io.Outcome:
+    return io.Outcome(send.request, attempt, send.server, code, spent, final or code == "ok")
+
+
+def serve(balancer: Balancer, now: float, number: int, latency: float = 10.0, name: str = "read") -> str:
+    """One request answered well; the server it went to."""
+    send = sends(ask(balancer, now, number, name))[0]
+    balancer.handle(now + latency, outcome(send, 0, "ok", latency))
+    return send.server
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,265 @@
+"""Small scripted peers on loopback sockets: an upstream, discovery, and a client. Not a load rig."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
+from typing import Any, NamedTuple
+
+import uvloop
+
+from quartzford import interface as io
+from quartzford.config import read_config
+from quartzford.net.proxy import Proxy
+
+SETTINGS: dict[str, Any] = {
+    "blend": {"whole": 1.0},
+    "classes": [
+        {"name": "read", "sloMs": 2500.0, "deadlineMs": 3000.0, "value": 1.0, "effect": "free"},
+        {"name": "book", "sloMs": 2500.0, "deadlineMs": 3000.0, "value": 5.0, "effect": "guarded",
+         "group": "cell", "memorySpanMs": 2000.0},
+        {"name": "pay", "sloMs": 2500.0, "deadlineMs": 3000.0, "value": 8.0, "effect": "single_shot"},
+    ],
+    "customers": [{"name": "acme", "quotaPerS": 1000.0}],
+    "guarantees": {
+        "answerSlackMs": 20.0, "askEveryMs": 10000.0, "coldMs": 1.0, "drainGraceMs": 250.0,
+        "fallMs": 2000.0, "startCapacity": 0.5, "tipMultiple": 4.0,
+    },
+    "limits": {
+        "connIdleMs": 15000.0, "connectTimeoutMs": 250.0, "maxAttempts": 4, "mayCancel": True,
+        "retryAfter": True, "maxRetryAfterMs": 2000.0,
+    },
+    "myZone": "north",
+    "nInstances": 1,
+    "prices": {},
+    "registryMode": "automatic",
+    "report": {"fields": ["depth", "load_share"], "source": "inline"},
+    "tickMs": 1.0,
+}  # fmt: skip
+
+
+class Message(NamedTuple):
+    """A request or an answer as it came."""
+
+    line: str
+    fields: dict[str, str]
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        return int(self.line.split()[1])
+
+
+async def until(condition: Callable[[], object], seconds: float = 8.0) -> None:
+    """Wait for a condition; the time is only there to end a test that fails."""
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, "the condition never came"
+        await asyncio.sleep(0.005)
+
+
+async def read_message(reader: asyncio.StreamReader, head_only: bool = False) -> Message:
+    """The next message; IncompleteReadError where it is not whole."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.rstrip().split("\r\n")
+    fields = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in rest)}
+    body = b""
+    if head_only:
+        pass
+    elif fields.get("transfer-encoding") == "chunked":
+        while size := int(await reader.readuntil(b"\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readline()
+    elif "content-length" in fields:
+        body = await reader.readexactly(int(fields["content-length"]))
+    elif line.startswith("HTTP/"):
+        body = await reader.read()
+    return Message(line, fields, body)
+
+
+def reply(body: bytes = b"done", status: str = "200 OK", fields: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\n{fields}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
+
+
+def says(data: bytes, close: bool = False) -> Script:
+    """A script that writes these bytes to each request."""
+
+    async def script(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        if close:
+            writer.close()
+
+    return script
+
+
+async def silent(message: Message, writer: asyncio.StreamWriter) -> None:
+    """Answers nothing."""
+
+
+class Peer:
+    """A server whose answers the test writes; the requests that came are kept."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.came: list[Message] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.left = 0  # connections that have ended
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Refuse connections and end those that stand."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            with suppress(RuntimeError):
+                writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        try:
+            while True:
+                message = await read_message(reader)
+                self.came.append(message)
+                await self.script(message, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self.left += 1
+            writer.close()
+
+
+class World:
+    """A balancer in this process, between peers that follow their scripts."""
+
+    def __init__(
+        self, upstreams: int = 1, memory_mb: float = 192, sockets: int = 1024, **settings: Any
+    ) -> None:
+        self.ups = [Peer(says(reply())) for _ in range(upstreams)]
+        self.discovery = Peer(self._discover)
+        self.version = 1
+        self.watches: list[asyncio.StreamWriter] = []
+        self.memory_mb, self.sockets = memory_mb, sockets
+        self.settings = SETTINGS | settings
+        self.known: dict[str, Any] | None = None
+        self.events: list[io.Event] = []
+        self.actions: list[io.Action] = []
+        self.clients: list[asyncio.StreamWriter] = []
+
+    def host(self, number: int, health: str = "ready", born: float = 0, **changes: Any) -> dict[str, Any]:
+        return {
+            "host": f"s{number}", "dial": f"127.0.0.1:{self.ups[number].port}", "site": "north",
+            "class": "std", "block": 0, "health": health, "share": 1.0, "born_ms": born,
+        } | changes  # fmt: skip
+
+    def list(self, *hosts: dict[str, Any], whole: bool = True) -> dict[str, Any]:
+        return {"seq": self.version, "whole": whole, "hosts": list(hosts)}
+
+    async def _discover(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        whole = json.dumps(
+            self.list(*(self.host(n) for n in range(len(self.ups)))) if not self.current else self.current
+        )
+        if "stream=1" not in message.line:
+            writer.write(reply(whole.encode()))
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.append(writer)
+        self.tell(whole, writer)
+
+    current: dict[str, Any] | None = None
+
+    def tell(self, line: str | dict[str, Any], writer: asyncio.StreamWriter | None = None) -> None:
+        """A line on the watch."""
+        text = (line if isinstance(line, str) else json.dumps(line)) + "\n"
+        self.raw(text.encode(), writer)
+
+    def raw(self, data: bytes, writer: asyncio.StreamWriter | None = None) -> None:
+        (writer or self.watches[-1]).write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def news(self, *hosts: dict[str, Any], whole: bool = False) -> None:
+        """Changes, or a whole list, told on the watch."""
+        self.version += 1
+        self.tell(self.list(*hosts, whole=whole))
+
+    async def __aenter__(self) -> World:
+        for peer in (*self.ups, self.discovery):
+            await peer.start()
+        known = self.known or self.list(*(self.host(n) for n in range(len(self.ups))))
+        config = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "seed": "5", "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
+            "known": known, "settings": self.settings,
+        }  # fmt: skip
+        self.proxy = Proxy(read_config(json.dumps(config)), asyncio.get_running_loop())
+        handle = self.proxy.balancer.handle
+
+        def watched(now: float, event: io.Event) -> list[io.Action]:
+            self.events.append(event)
+            actions = handle(now, event)
+            self.actions.extend(actions)
+            return actions
+
+        self.proxy.balancer.handle = watched  # type: ignore[method-assign]
+        await self.proxy.start()
+        assert self.proxy.server is not None
+        self.port = self.proxy.server.sockets[0].getsockname()[1]
+        await until(lambda: self.watches and self.proxy.discovery.heard)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for writer in self.clients:
+            writer.transport.abort()
+        self.proxy.discovery.stop()
+        assert self.proxy.server is not None
+        self.proxy.server.close()
+        for peer in (*self.ups, self.discovery):
+            await peer.stop()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port, limit=2**22)
+        self.clients.append(writer)
+        return reader, writer
+
+    async def ask(self, data: bytes) -> Message:
+        """One request on a connection of its own."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        return await read_message(reader)
+
+    def outcomes(self) -> list[str]:
+        return [e.code for e in self.events if isinstance(e, io.Outcome)]
+
+
+def request(
+    name: str = "read", body: bytes | None = None, fields: str = "", method: str = "", left: str = "2500m",
+    path: str = "/api",
+) -> bytes:  # fmt: skip
+    """A request of a class as a client writes it."""
+    method = method or ("GET" if name == "read" else "POST")
+    head = f"{method} {path} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: c1\r\nX-Service-Class: {name}\r\n"
+    head += f"X-Account: acme\r\nX-Time-Left: {left}\r\n"
+    if name == "book":
+        head += "Idempotency-Key: k1\r\n"
+    if body is not None:
+        head += f"Content-Length: {len(body)}\r\n"
+    return (head + fields + "\r\n").encode() + (body or b"")
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> Callable[[], None]:
+    """A test that is a coroutine, on the loop that the balancer runs on."""
+
+    def wrapped() -> None:
+        uvloop.run(asyncio.wait_for(test(), 60))
+
+    wrapped.__name__ = test.__name__
+    return wrapped
--- /dev/null
+++ b/tests/test_automaton.py
@@ -0,0 +1,66 @@
+"""Eq. 6 to 8 on numbers worked by hand, and P through changes of membership."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from helpers import ask, entry, listed, outcome, sends, started
+from hypothesis import given
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+from pytest import approx
+
+from quartzford import interface as io
+from quartzford.logic import Balancer
+
+
+def shares(balancer: Balancer) -> dict[str, float]:
+    return {s.entry.server: s.p for s in balancer.ready}
+
+
+def test_equal_at_start() -> None:
+    assert list(shares(started(5)).values()) == [approx(0.2)] * 5
+
+
+WHAT = st.sampled_from(["ready", "gone", "draining", "restart", "ok", "reset"])
+
+
+@given(st.lists(st.tuples(st.integers(0, 7), WHAT)))
+@budget(max_examples=100, deadline=None, derandomize=True, database=None)
+def test_p_stays_a_distribution(steps: list[Any]) -> None:
+    balancer = started(4)
+    for now, (number, what) in enumerate(steps, 1):
+        if what in ("ok", "reset"):
+            for send in sends(ask(balancer, float(now), now)):
+                balancer.handle(now + 0.5, outcome(send, 0, what, float(number + 1), final=True))
+        else:
+            state, begun = ("ready", float(now)) if what == "restart" else (what, 0.0)
+            balancer.handle(float(now), io.ListUpdate("changes", (entry(number, state, begun),)))
+        if balancer.ready:
+            assert sum(s.p for s in balancer.ready) == approx(1.0)
+            assert all(s.p >= 0 for s in balancer.ready)
+
+
+def test_newcomer_and_leaver() -> None:
+    balancer = started(4)
+    balancer.handle(1.0, io.ListUpdate("changes", (entry(4),)))
+    assert list(shares(balancer).values()) == [approx(0.2)] * 5
+    balancer.handle(2.0, io.ListUpdate("changes", (entry(0, "gone"),)))
+    assert shares(balancer) == {f"s{n}": approx(0.25) for n in (1, 2, 3, 4)}
+
+
+def test_same_seed_same_actions_and_late_events_are_ignored() -> None:
+    def play(seed: int) -> list[io.Action]:
+        balancer, out = started(4, seed), []
+        for n in range(200):
+            out += ask(balancer, float(n), n)
+        return out
+
+    assert play(1) == play(1) != play(2)
+    balancer = started(2)
+    assert balancer.handle(1.0, io.Timer(99)) == []
+    assert balancer.handle(1.0, io.Gone(99)) == []
+    assert balancer.handle(1.0, io.Outcome(99, 0, "s0", "ok", 1.0, True)) == []
+    assert balancer.handle(1.0, io.Outcome(99, 0, "nobody", "reset", 1.0, True)) == []
+    assert balancer.handle(1.0, io.Started(99, 0, "s0", 1.0)) == []
+    assert balancer.handle(1.0, listed(range(2), "failed")) is not None
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,156 @@
+"""One small test for each failure met; the code that answers each says so in a comment."""
+
+from __future__ import annotations
+
+from helpers import FREE, ask, entry, finals, outcome, sends, serve, settings, started
+from pytest import approx
+
+from quartzford import interface as io
+from quartzford.logic import FAIL_WEIGHT, Balancer
+
+
+def test_a_hung_server_is_left_alone_while_an_attempt_ages() -> None:
+    """Swallowed requests give no outcome before the time-out; the age of the attempt must tell."""
+    balancer = started(4)
+    for n in range(200):
+        serve(balancer, n * 20.0, n)
+    now, hung = 5_000.0, sends(ask(balancer, 5_000.0, 1_000, "pay"))[0].server
+    later = [serve(balancer, now + 100.0 + n, 2_000 + n, latency=0.5) for n in range(60)]
+    assert hung not in later
+
+
+def test_quick_errors_do_not_look_like_a_fast_server() -> None:
+    balancer = started(4)
+    for n in range(100):
+        serve(balancer, n * 20.0, n)
+    while True:
+        n += 1
+        send = sends(ask(balancer, 5_000.0 + n, n))[0]
+        bad = send.server == "s2"
+        balancer.handle(5_000.0 + n + 0.5, outcome(send, 0, "error" if bad else "ok", 0.5, final=True))
+        if bad:
+            break
+    assert FAIL_WEIGHT > 0.35
+    after = [serve(balancer, 5_200.0 + n + m, n + 1 + m, latency=0.5) for m in range(60)]
+    assert "s2" not in after
+
+
+def test_ejection_never_empties_the_fleet() -> None:
+    balancer = started(3)
+    for n in range(60):
+        actions = ask(balancer, float(n), n, "pay")
+        assert sends(actions), "nothing was sent though servers are listed"
+        balancer.handle(n + 0.5, outcome(sends(actions)[0], 0, "reset", 0.5))
+
+
+def test_a_few_bad_servers_do_not_make_a_balancer_refuse() -> None:
+    """Incident i331d83: a tenth of the servers left attempts unanswered and 40% of all tries were refused."""
+    balancer, refused = started(10), 0
+    for n in range(3_000):
+        now = n * 10.0
+        actions = ask(balancer, now, n, "pay")
+        refused += len(finals(actions))
+        for send in sends(actions):
+            if send.server == "s3":
+                balancer.handle(now + 9.0, outcome(send, 0, "timeout", 195.0))
+            else:
+                balancer.handle(now + 9.0, outcome(send, 0, "ok", 15.0))
+    assert refused < 60
+
+
+def test_true_overload_refuses_the_least_worth_first() -> None:
+    balancer = started(4)
+    ends = {"read": [0, 0], "pay": [0, 0]}
+    for n in range(450):
+        now, name = n * 5.0, ("read", "pay")[n % 2]
+        actions = ask(balancer, now, n, name)
+        ends[name][0] += 1
+        ends[name][1] += bool(finals(actions))
+        for send in sends(actions):
+            ok = n % 3 == 0
+            balancer.handle(now + 4.0, outcome(send, 0, "ok" if ok else "timeout", 190.0, final=True))
+    assert ends["read"][1] > 1.5 * ends["pay"][1]
+
+
+def test_giving_up_early_needs_a_retry_to_spend() -> None:
+    """An attempt cut short with an empty retry budget was a sure loss."""
+    balancer = started(8)
+    for n in range(100):
+        serve(balancer, n * 20.0, n)
+    first = sends(ask(balancer, 5_000.0, 500))[0]
+    assert first.time_out_ms < FREE.aim_ms / 2
+    for n in range(40):  # spend the budget
+        send = sends(ask(balancer, 5_001.0 + n, 600 + n))[0]
+        balancer.handle(5_001.5 + n, outcome(send, 0, "error", 0.5))
+    last = sends(ask(balancer, 5_100.0, 700))[0]
+    assert last.time_out_ms > FREE.aim_ms / 2
+
+
+def test_bounded_load_spreads_what_is_out() -> None:
+    """A server above its share of what is out waits while others are below theirs."""
+    for seed in range(20):
+        balancer = started(8, seed)
+        taken = [sends(ask(balancer, 0.0, n))[0].server for n in range(8)]
+        assert len(set(taken[:4])) == 4
+        assert max(map(taken.count, taken)) == 2 or len(set(taken)) == 8
+
+
+def test_shares_follow_costs_within_few_answers_of_a_large_fleet() -> None:
+    """At 60 servers single steps of Eq. 8 need thousands of answers; the mean of Eq. 8 does not."""
+    balancer = Balancer(settings(prices=io.Prices(cross_zone=0.06)), 5)
+    balancer.handle(0.0, io.ListUpdate("stale", tuple(entry(n) for n in range(60))))
+    for n in range(300):
+        serve(balancer, n * 20.0, n)
+    own = sum(s.p for s in balancer.ready if s.entry.zone == "north")
+    assert own > 0.65
+    assert sum(s.p for s in balancer.ready) == approx(1.0)
+
+
+def test_failed_list_calls_back_off_and_are_spread() -> None:
+    waits = []
+    for seed in range(20):
+        balancer = Balancer(settings(asks_list=True), seed)
+        first = balancer.handle(0.0, io.ListUpdate("stale", (entry(0),)))
+        waits.append(next(a.after_ms for a in first if isinstance(a, io.Wake)))
+        spans = []
+        for n in range(5):
+            again = balancer.handle(1.0 + n, io.ListUpdate("failed"))
+            spans.append(next(a.after_ms for a in again if isinstance(a, io.Wake)))
+        assert max(spans) <= 5_000.0 and spans[3] > spans[0]
+        assert balancer.handle(9.0, io.Timer(0)) == [io.Watch()]
+    assert max(waits) - min(waits) > 1_000.0 and max(waits) < 10_000.0
+
+
+def test_a_stream_that_has_begun_owes_nothing() -> None:
+    balancer = started(2)
+    send = sends(ask(balancer, 0.0, 1, "feed"))[0]
+    assert balancer.handle(5.0, io.Started(1, 0, send.server, 5.0)) == []
+    assert balancer.handle(9_000.0, outcome(send, 0, "reset", 9_000.0, final=True)) == []
+    assert not balancer.flights
+
+
+def test_eq_6_to_8_on_numbers_worked_by_hand() -> None:
+    """Two servers; the first answer sets what the class usually takes, so it costs one usual latency."""
+    balancer = started(2)
+    send = sends(ask(balancer, 0.0, 1))[0]
+    balancer.handle(10.0, outcome(send, 0, "ok", 10.0))
+    one, two = sorted(balancer.ready, key=lambda s: s.entry.server != send.server)
+    # z = 0.5 * 1 for both, prev_cost = z, low = 0.6 * 0.5 = 0.3, high = 0.5, beta = 1 for both:
+    # Eq. 8 with a = b = 0.078 takes 0.078 * 0.5 from the one that answered and gives it to the other.
+    assert (one.cost, two.cost) == (approx(0.5), approx(0.5))
+    after = 0.5 - 0.078 * 0.5
+    # The mean of Eq. 8, a = 0.1: B = 1, so P1 += 0.1 * ((1 - P1) / 1 - P1).
+    assert one.p == approx(after + 0.1 * (1 - 2 * after))
+    assert one.p + two.p == approx(1.0)
+    # A second answer at three usual latencies: usual = 10 + 0.05 * 20 = 11, y = 30 / 11, alpha = 0.5.
+    p1 = one.p
+    other = sends(ask(balancer, 20.0, 2))[0]
+    balancer.handle(50.0, outcome(other, 0, "ok", 30.0))
+    slow, quick = (one, two) if other.server == one.entry.server else (two, one)
+    cost = 0.5 * (0.5 * 30 / 11) + 0.5 * 0.5
+    assert slow.cost == approx(cost) and quick.cost == approx(0.5)
+    # beta = 1 for the dearer one, (0.5 - 0.3) / (cost - 0.3) for the other.
+    before = p1 if slow is one else 1 - p1
+    step = before - 0.078 * before
+    mean = step + (1 - step) * 0.2 / (cost - 0.3)
+    assert slow.p == approx(step + 0.1 * ((mean - step) / 1 - step))
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,198 @@
+"""The program as the deploy file starts it: start, bad configurations, SIGTERM, SIGKILL."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tomllib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from peers import Message, Peer, World, read_message, reply, request, says, silent, until
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+COMMAND = DEPLOY["run"].replace(".venv/bin/python", f"{sys.executable} -B")
+
+
+async def spawn(config: Any, path: Path) -> asyncio.subprocess.Process:
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", COMMAND, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+
+
+async def free_port() -> int:
+    peer = Peer(silent)
+    await peer.start()
+    await peer.stop()
+    return peer.port
+
+
+class Program:
+    """A balancer in a process of its own, with one upstream."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.world = World()
+        self.up = self.world.ups[0]
+
+    async def start(self) -> None:
+        for peer in (self.up, self.world.discovery):
+            if not peer.port:
+                await peer.start()
+        self.port = getattr(self, "port", 0) or await free_port()
+        self.config = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "ab12",
+            "discovery": f"127.0.0.1:{self.world.discovery.port}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self.world.list(self.world.host(0)), "settings": self.world.settings,
+        }  # fmt: skip
+        self.process = await spawn(self.config, self.path)
+        for _ in range(1000):
+            try:
+                if (await self.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+        raise AssertionError("it was never ready")
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port, limit=2**22)
+
+    async def ask(self, data: bytes) -> Message:
+        reader, writer = await self.connect()
+        writer.write(data)
+        try:
+            return await read_message(reader)
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def program(path: Path) -> AsyncIterator[Program]:
+    it = Program(path / "config.json")
+    await it.start()
+    try:
+        yield it
+    finally:
+        if it.process.returncode is None:
+            it.process.kill()
+        await it.process.wait()
+        await it.up.stop()
+        await it.world.discovery.stop()
+
+
+def test_sigterm_under_load_answers_all_and_exits_0(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with program(tmp_path) as it:
+            gate = asyncio.Event()
+
+            async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+                await gate.wait()
+                writer.write(reply())
+
+            kept, half = await it.connect(), await it.connect()
+            kept[1].write(request())
+            assert (await read_message(kept[0])).status == 200
+            it.up.script = wait
+            held = asyncio.ensure_future(it.ask(request("pay", b"")))
+            half[1].write(request("pay", b"body")[:-2])
+            await until(lambda: len(it.up.came) == 2)
+            it.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            new = asyncio.ensure_future(it.ask(request("pay", b"")))
+            kept[1].write(request("pay", b""))  # unsafe: it is sent once, however long it takes
+            half[1].write(b"dy")
+            await until(lambda: len(it.up.came) == 5)
+            gate.set()
+            answers = [await held, await new, await read_message(kept[0]), await read_message(half[0])]
+            assert [a.status for a in answers] == [200] * 4
+            assert all(a.fields["connection"] == "close" for a in answers)
+            assert await asyncio.wait_for(it.process.wait(), 10) == 0
+
+    uvloop.run(test())
+
+
+def test_sigterm_with_an_upload_a_stream_and_silence_ends_in_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with program(tmp_path) as it:
+
+            async def half(message: Message, writer: asyncio.StreamWriter) -> None:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"h" * 150_000)
+
+            it.up.script = half
+            streaming = await it.connect()
+            streaming[1].write(request("pay", b""))
+            await streaming[0].readexactly(100_000)
+            uploading = await it.connect()
+            uploading[1].write(request("pay", b"u" * 1000)[:-500])
+            it.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(it.process.wait(), 20) == 0
+
+    uvloop.run(test())
+
+
+def test_sigkill_and_a_start_again_under_the_same_address(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with program(tmp_path) as it:
+            kept = await it.connect()
+            kept[1].write(request())
+            assert (await read_message(kept[0])).status == 200
+            it.process.kill()
+            await it.process.wait()
+            await it.start()
+            assert (await it.ask(request())).status == 200
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ("{", "not JSON"),
+        ({"listen": None}, "listen"),
+        ({"listen": "127.0.0.1"}, "listen"),
+        ({"discovery": "x:99999"}, "discovery"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"memory_mb": 128}}, "limits.sockets"),
+        ({"limits": {"memory_mb": -1, "sockets": 10}}, "limits.memory_mb"),
+        ({"known": []}, "known"),
+        ({"known": {"seq": 1, "whole": True, "hosts": [{}]}}, "known"),
+        ({"settings": {}}, "guarantees"),
+        ({"settings": {**World().settings, "classes": []}}, "classes"),
+        ({"settings": {**World().settings, "myZone": None, "nInstances": 0}}, "balancers"),
+        ({"settings": {k: v for k, v in World().settings.items() if k != "myZone"}}, "myZone"),
+    ],
+)
+def test_a_bad_configuration_ends_the_start_with_one_line(tmp_path: Path, change: Any, key: str) -> None:
+    async def test() -> None:
+        good = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+            "limits": {"memory_mb": 128, "sockets": 1024}, "settings": World().settings,
+            "known": {"seq": 1, "whole": True, "hosts": []},
+        }  # fmt: skip
+        process = await spawn(change if isinstance(change, str) else good | change, tmp_path / "c.json")
+        _, errors = await asyncio.wait_for(process.communicate(), 20)
+        assert process.returncode == 2
+        assert key in errors.decode() and errors.count(b"\n") == 1 and b"Traceback" not in errors
+
+    uvloop.run(test())
+
+
+def test_an_upstream_script_serves(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with program(tmp_path) as it:
+            it.up.script = says(reply(b"from afar"))
+            assert (await it.ask(request())).body == b"from afar"
+
+    uvloop.run(test())
--- /dev/null
+++ b/tests/test_sockets_list.py
@@ -0,0 +1,153 @@
+"""The list of upstreams over loopback: changes, gaps, restarts, and a discovery that misbehaves."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+import uvloop
+from peers import Message, World, reply, request, run, says, until
+
+from quartzford import interface as io
+from quartzford.net import discovery as source
+from quartzford.net.discovery import read_listing
+
+
+def ready(world: World) -> set[str]:
+    return {name for name, up in world.proxy.upstreams.items() if up.ready}
+
+
+@run
+async def test_changes_drains_removals_and_whole_lists_are_followed() -> None:
+    async with World(3) as world:
+        assert ready(world) == {"s0", "s1", "s2"}
+        world.news(world.host(0, "draining"))
+        await until(lambda: ready(world) == {"s1", "s2"})
+        world.news(world.host(1, "gone"))
+        await until(lambda: ready(world) == {"s2"})
+        for _ in range(5):
+            assert (await world.ask(request())).status == 200
+        assert [len(up.came) for up in world.ups] == [0, 0, 5]
+        world.news(world.host(1), whole=True)
+        await until(lambda: ready(world) == {"s1"})
+        hows = [e.how for e in world.events if isinstance(e, io.ListUpdate)]
+        assert hows == ["stale", "whole", "changes", "changes", "whole"]
+
+
+@run
+async def test_a_drain_ends_idle_connections_and_lets_what_is_out_finish() -> None:
+    async with World(2) as world:
+        gate = asyncio.Event()
+
+        async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(reply(b"late"))
+
+        world.ups[0].script = world.ups[1].script = wait
+        asking = asyncio.ensure_future(world.ask(request("pay", b"")))
+        await until(lambda: world.ups[0].came or world.ups[1].came)
+        busy = 0 if world.ups[0].came else 1
+        world.news(world.host(busy, "draining"))
+        await until(lambda: len(ready(world)) == 1)
+        gate.set()
+        assert (await asking).body == b"late"
+        await until(lambda: world.ups[busy].left == 1)
+
+
+@pytest.mark.parametrize("how", ["ends", "bad line", "not a host", "version back", "stalls"])
+def test_a_watch_that_goes_wrong_is_made_again(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        if how == "stalls":
+            monkeypatch.setattr(source, "SILENCE_S", 0.3)
+        async with World(2) as world:
+            before = len(world.discovery.came)
+            world.version = 9
+            world.current = world.list(world.host(1))
+            if how == "ends":
+                world.raw(b'{"seq":8,"whole":false,"ho')
+                world.watches[-1].transport.abort()
+            elif how == "bad line":
+                world.tell("{nonsense")
+            elif how == "not a host":
+                world.tell({"seq": 8, "whole": False, "hosts": [{"host": "s0", "health": "unwell"}]})
+            elif how == "version back":
+                world.tell({"seq": 0, "whole": False, "hosts": []})
+            await until(lambda: ready(world) == {"s1"})
+            came = [message.line for message in world.discovery.came[before:]]
+            if how in ("ends", "stalls"):
+                assert came[0].startswith("GET /catalog/members?stream=1&index=1 ")
+            else:
+                assert came[0].startswith("GET /catalog/members ")
+            assert (await world.ask(request())).status == 200
+
+    uvloop.run(test())
+
+
+@run
+async def test_discovery_that_cannot_be_had_for_a_while() -> None:
+    async with World(2) as world:
+        port = world.discovery.port
+        await world.discovery.stop()
+        await until(lambda: world.proxy.discovery.tries > 2)
+        assert (await world.ask(request())).status == 200
+        world.version, world.current = 5, None
+        await world.discovery.start(port)
+        await until(lambda: world.proxy.discovery.version == 5)
+
+
+@run
+async def test_a_line_without_end_and_an_answer_that_is_no_list() -> None:
+    async with World() as world:
+        for script in (says(reply(b"", "503 Down")), says(b"garbage\r\n\r\n"), says(b"", close=True)):
+            world.discovery.script = script
+            before = len(world.discovery.came)
+            world.discovery.writers[-1].transport.abort()
+            await until(lambda before=before: len(world.discovery.came) > before + 1)  # type: ignore[misc]
+        world.discovery.script = world._discover
+        watches = len(world.watches)
+        await until(lambda: len(world.watches) > watches)
+        for _ in range(5):
+            world.raw(b"x" * 1_000_000)
+        await until(lambda: len(world.watches) > watches + 1)
+        assert (await world.ask(request())).status == 200
+
+
+def test_a_list_that_is_asked_for_comes_when_the_module_asks() -> None:
+    async def test() -> None:
+        world = World(
+            registryMode="subscribe", guarantees={**World().settings["guarantees"], "askEveryMs": 50.0}
+        )
+        async with world:
+            await until(lambda: world.watches)
+            assert any(isinstance(a, io.Watch) for a in world.actions)
+            watches = len(world.watches)
+            world.watches[-1].transport.abort()
+            await until(lambda: len(world.watches) > watches)
+            assert any(isinstance(e, io.ListUpdate) and e.how == "failed" for e in world.events)
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"", b"[]", b"3", b"{}", b'{"seq":1,"whole":true}', b'{"seq":"1","whole":true,"hosts":[]}',
+        b'{"seq":1,"whole":1,"hosts":[]}', b'{"seq":1,"whole":true,"hosts":[3]}', b"\xff\xfe", b"[" * 100_000,
+    ],
+)  # fmt: skip
+def test_a_malformed_list_is_a_value_error(text: bytes) -> None:
+    with pytest.raises(ValueError):
+        read_listing(text)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"health": "odd"}, {"dial": "nowhere"}, {"dial": 5}, {"share": -1}, {"born_ms": "x"}, {"host": ""}],
+)
+def test_a_malformed_entry_is_a_value_error(change: dict[str, object]) -> None:
+    row = {"host": "s", "dial": "127.0.0.1:80", "site": "a", "class": "c", "block": 0, "health": "ready",
+           "share": 1.0, "born_ms": 0}  # fmt: skip
+    assert read_listing(json.dumps({"seq": 1, "whole": True, "hosts": [row]}).encode()).entries
+    with pytest.raises(ValueError):
+        read_listing(json.dumps({"seq": 1, "whole": True, "hosts": [row | change]}).encode())
--- /dev/null
+++ b/tests/test_sockets_outcomes.py
@@ -0,0 +1,396 @@
+"""How attempts end on real sockets, long answers, clients that leave, and the bounds on buffers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+import pytest
+import uvloop
+from peers import Message, Script, World, read_message, reply, request, run, says, silent, until
+
+from quartzford import interface as io
+from quartzford.config import REPORT_NAMES
+from quartzford.net.upstream import read_report
+
+LONG = 300_000
+
+
+def resets(data: bytes) -> Script:
+    """Writes these bytes, then breaks the connection."""
+
+    async def script(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("script", "code", "status"),
+    [
+        (says(reply()), "ok", 200),
+        (says(reply(b"", "500 Oops")), "error", 502),
+        (says(reply(b"", "404 Not Found")), "error", 502),
+        (says(reply(b"", "503 Busy")), "error", 502),
+        (says(reply(b"", "503 Busy", "X-Unprocessed: 0\r\n")), "error", 502),
+        (says(reply(b"", "500 Oops", "X-Unprocessed: 1\r\n")), "error", 502),
+        (says(reply(b"", "503 Busy", "X-Unprocessed: 1\r\n")), "full", 503),
+        (says(reply(b"", "504 Over", "x-unprocessed: 1\r\n")), "full", 503),
+        (says(b"garbage\r\n\r\n"), "reset", 502),
+        (says(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"), "reset", 502),
+        (says(b"HTTP/1.1 200 OK\r\nX: " + b"y" * 70_000), "reset", 502),
+        (says(b"HTTP/1.1 200 O", close=True), "reset", 502),
+        (says(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", close=True), "reset", 502),
+        (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhal", close=True), "reset", 502),
+        (says(b"", close=True), "reset", 502),
+        (resets(b""), "reset", 502),
+        (resets(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal"), "reset", 502),
+        (silent, "timeout", 502),
+    ],
+)
+def test_every_way_an_attempt_ends(script: Script, code: str, status: int) -> None:
+    async def test() -> None:
+        async with World() as world:
+            world.ups[0].script = script
+            answer = await world.ask(request("pay", b"", left="300m"))
+            assert answer.status == status
+            assert set(world.outcomes()) == {code}
+            assert code == "full" or len(world.ups[0].came) == 1  # unsafe: not sent again if it may have run
+            world.ups[0].script = says(reply())
+            await until(lambda: not world.proxy.exchanges and world.proxy.budget.used == 0)
+
+    uvloop.run(test())
+
+
+@run
+async def test_a_refused_connection_never_ran() -> None:
+    async with World(2) as world:
+        await world.ups[0].stop()
+        for _ in range(8):
+            assert (await world.ask(request("pay", b""))).status == 200
+        assert set(world.outcomes()) == {"ok", "connect_failed"}
+
+
+@run
+async def test_a_connection_that_never_comes_up_fails_in_time() -> None:
+    async with World() as world:
+        full = socket.socket()  # a backlog that is full: connections to it stay unanswered
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = full.getsockname()
+        held = [socket.socket() for _ in range(3)]
+        for sock in held:
+            sock.setblocking(False)
+            sock.connect_ex(address)
+        world.news(world.host(0, dial=f"{address[0]}:{address[1]}"))
+        await until(lambda: world.proxy.upstreams["s0"].address == address)
+        answer = await world.ask(request("pay", b"", left="600m"))
+        assert answer.status == 503 and set(world.outcomes()) == {"connect_failed"}
+        for sock in (*held, full):
+            sock.close()
+
+
+@run
+async def test_a_break_in_the_middle_of_the_request_never_ran() -> None:
+    async with World(2) as world:
+        stalled = asyncio.Event()
+
+        async def stall(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1000)
+            stalled.set()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(stall, "127.0.0.1", 0, limit=1000)
+        world.ups[0].port = server.sockets[0].getsockname()[1]
+        world.news(world.host(0), world.host(1, "draining"))
+        await until(lambda: not world.proxy.upstreams["s1"].ready)
+        asking = asyncio.ensure_future(world.ask(request("pay", b"b" * 12_000_000)))
+        await stalled.wait()
+        world.news(world.host(0, "gone"), world.host(1))
+        answer = await asking
+        assert answer.status == 200 and world.outcomes()[0] == "connect_failed"
+        assert len(world.ups[1].came[0].body) == 12_000_000
+        server.close()
+
+
+@run
+async def test_a_decision_that_aged_while_connecting_is_not_written(monkeypatch: Any = None) -> None:
+    async with World(2) as world:
+        loop = asyncio.get_running_loop()
+        gate, connect = asyncio.Event(), loop.sock_connect
+
+        class Loop:
+            """The loop, with connections that come up when the test says so."""
+
+            def __getattr__(self, name: str) -> Any:
+                return getattr(loop, name)
+
+            async def sock_connect(self, sock: socket.socket, address: Any) -> None:
+                await gate.wait()
+                await connect(sock, address)
+
+        world.proxy.loop = Loop()  # type: ignore[assignment]
+        world.news(world.host(1, "draining"))
+        await until(lambda: not world.proxy.upstreams["s1"].ready)
+        asking = asyncio.ensure_future(world.ask(request("pay", b"")))
+        await until(lambda: any(isinstance(a, io.Send) for a in world.actions))
+        world.news(world.host(0, "draining"), world.host(1))
+        await until(lambda: world.proxy.upstreams["s1"].ready)
+        gate.set()
+        assert (await asking).status == 200
+        assert world.outcomes() == ["moot", "ok"] and world.ups[0].came == []
+
+
+@run
+async def test_the_connection_of_an_attempt_ends_before_the_next_goes_out() -> None:
+    async with World(2) as world:
+        open_at: list[int] = []
+
+        async def hang(message: Message, writer: asyncio.StreamWriter) -> None:
+            first = world.ups[0] if world.ups[0].came else world.ups[1]
+            if sum(len(up.came) for up in world.ups) == 2:
+                await until(lambda: world.ups[0].left + world.ups[1].left == 1)
+                open_at.append(first.left)
+                writer.write(reply())
+
+        for up in world.ups:
+            up.script = hang
+        world.proxy.balancer.usual["read"] = 20.0
+        assert (await world.ask(request())).status == 200
+        assert world.outcomes() == ["timeout", "ok"] and len(open_at) == 1
+
+
+@run
+async def test_reports_reach_the_module_in_its_order_and_bad_ones_do_not() -> None:
+    async with World() as world:
+        fields = 'X-Backend-Load: {"inflight":7,"util":0.5,"queue":2}\r\n'
+        world.ups[0].script = says(reply(fields=fields))
+        answer = await world.ask(request())
+        assert "x-backend-load" not in answer.fields
+        (outcome,) = (e for e in world.events if isinstance(e, io.Outcome))
+        assert outcome.report == (2.0, 0.5)  # the settings say depth, load_share
+    words = "inflight queue util latency_ms qps eps".split()
+    assert [REPORT_NAMES[w] for w in "concurrent depth load_share mean_ms tps err_ps".split()] == words
+    for text in (
+        b"",
+        b"{",
+        b"[]",
+        b'{"queue":"x"}',
+        b'{"queue":-1}',
+        b'{"queue":NaN}',
+        b'{"queue":null}',
+        b"3",
+    ):
+        assert read_report(text, ("queue",)) == ()
+
+
+@run
+async def test_an_answer_that_has_begun_is_waited_for() -> None:
+    async with World() as world:
+
+        async def dribble(message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n")
+            for _ in range(6):
+                await asyncio.sleep(0.06)
+                writer.write(b"d")
+
+        world.ups[0].script = dribble
+        world.proxy.balancer.usual["read"] = 20.0  # patience ends after 80 ms
+        assert (await world.ask(request())).body == b"dddddd"
+        assert world.outcomes() == ["ok"] and len(world.ups[0].came) == 1
+
+
+@run
+async def test_an_answer_that_begins_and_stops_is_given_up() -> None:
+    async with World() as world:
+        world.ups[0].script = says(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nd")
+        world.proxy.balancer.usual["read"] = 20.0
+        await world.ask(request())
+        first = next(e for e in world.events if isinstance(e, io.Outcome))
+        assert first.code == "timeout" and first.spent_ms < 2000.0
+
+
+# ---- long answers
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize("size", [65_536, LONG])
+def test_answers_below_and_above_what_is_held_back(framing: str, size: int) -> None:
+    async def test() -> None:
+        body = bytes(i % 251 for i in range(size))
+        heads = {
+            "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (size, body),
+            "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+            % (size, body),
+            "close": b"HTTP/1.1 200 OK\r\n\r\n" + body,
+        }
+        async with World() as world:
+            world.ups[0].script = says(heads[framing], close=framing == "close")
+            reader, writer = await world.connect()
+            for _ in range(2):
+                writer.write(request("pay", b""))
+                assert (await read_message(reader)).body == body
+            started = [e for e in world.events if isinstance(e, io.Started)]
+            assert bool(started) == (size > 65_536) and set(world.outcomes()) == {"ok"}
+            assert world.proxy.budget.used == 0 and not world.proxy.streams
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("old", [False, True])
+@pytest.mark.parametrize("framing", [b"Content-Length: 300000", b"Transfer-Encoding: chunked"])
+def test_a_long_answer_that_breaks_is_seen_to_be_broken(framing: bytes, old: bool) -> None:
+    async def test() -> None:
+        async with World() as world:
+            half = b"%x\r\n" % LONG if b"chunked" in framing else b""
+            world.ups[0].script = resets(
+                b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n" + half + b"h" * 150_000
+            )
+            asked = request("pay", b"")
+            answered = world.ask(asked.replace(b"HTTP/1.1", b"HTTP/1.0") if old else asked)
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                await answered
+            await until(lambda: world.outcomes())
+            assert world.outcomes() == ["reset"] and len(world.ups[0].came) == 1
+
+    uvloop.run(test())
+
+
+@run
+async def test_an_answer_that_may_become_long_is_passed_on_when_its_time_is_up() -> None:
+    async with World() as world:
+
+        async def dribble(message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(20):
+                writer.write(b"1000\r\n" + b"d" * 4096 + b"\r\n")
+                await asyncio.sleep(0.04)
+            writer.write(b"0\r\n\r\n")
+
+        world.ups[0].script = dribble
+        answer = await world.ask(request("pay", b"", left="400m"))
+        assert answer.status == 200 and answer.body == b"d" * 81_920
+        assert world.outcomes() == ["ok"]
+
+
+@run
+async def test_a_slow_reader_holds_the_upstream_back() -> None:
+    async with World() as world:
+        size = 24_000_000
+        written = 0
+
+        async def pour(message: Message, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            while written < size:
+                writer.write(b"p" * 100_000)
+                written += 100_000
+                await writer.drain()
+
+        world.ups[0].script = pour
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.port, limit=1000)
+        world.clients.append(writer)
+        writer.write(request("pay", b""))
+        await until(lambda: any(c.stuck for c in world.proxy.clients))
+        (client,) = world.proxy.clients
+        assert client.transport.get_write_buffer_size() < 2_000_000
+        assert written < size  # what is under way lies in the kernel's buffers, not here
+        await reader.readuntil(b"\r\n\r\n")
+        assert len(await reader.readexactly(size)) == size
+
+
+# ---- clients that leave
+
+
+@run
+async def test_a_client_that_leaves_takes_its_attempt_along() -> None:
+    async with World() as world:
+        world.ups[0].script = silent
+        _, writer = await world.connect()
+        writer.write(request("pay", b""))
+        await until(lambda: world.ups[0].came)
+        writer.close()
+        await until(lambda: world.ups[0].left == 1)
+        assert world.outcomes() == ["cancelled"] and any(isinstance(e, io.Gone) for e in world.events)
+        assert not world.proxy.exchanges and world.proxy.budget.used == 0
+
+
+@run
+async def test_a_client_that_leaves_while_its_request_waits_or_is_answered() -> None:
+    async with World() as world:
+        world.news(world.host(0, "draining"))
+        await until(lambda: not world.proxy.upstreams["s0"].ready)
+        _, writer = await world.connect()
+        writer.write(request("pay", b"held"))
+        await until(lambda: world.proxy.exchanges)
+        writer.close()
+        await until(lambda: not world.proxy.exchanges)
+        assert world.outcomes() == [] and world.proxy.budget.used == 0
+        world.news(world.host(0))
+        await until(lambda: world.proxy.upstreams["s0"].ready)
+
+        async def half(message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"h" * 150_000)
+
+        world.ups[0].script = half
+        reader, writer = await world.connect()
+        writer.write(request("pay", b""))
+        await reader.readexactly(100_000)
+        writer.transport.abort()
+        await until(lambda: world.ups[0].left == 1 and not world.proxy.clients)
+        assert not world.proxy.streams and world.proxy.budget.used == 0
+
+
+# ---- bounds
+
+
+@run
+async def test_a_request_that_the_module_lost_is_answered_by_its_time() -> None:
+    async with World() as world:
+        handle = world.proxy.balancer.handle
+
+        def forgetful(now: float, event: io.Event) -> list[io.Action]:
+            actions = handle(now, event)
+            if isinstance(event, io.Request):
+                if event.budget_ms < 200:
+                    raise RuntimeError("a fault in the module")
+                return []
+            return actions
+
+        world.proxy.balancer.handle = forgetful  # type: ignore[method-assign]
+        assert (await world.ask(request("pay", b"", left="300m"))).status == 500
+        assert (await world.ask(request("pay", b"", left="100m"))).status == 500
+        world.proxy.balancer.handle = handle  # type: ignore[method-assign]
+        assert (await world.ask(request("pay", b""))).status == 200
+
+
+@run
+async def test_pipelined_requests_that_are_never_taken_give_their_bytes_back() -> None:
+    async with World() as world:
+        world.ups[0].script = silent
+        _, writer = await world.connect()
+        writer.write(request("pay", b"first") + request("pay", b"second") * 3)
+        await until(lambda: world.ups[0].came and world.proxy.budget.used > 20)
+        writer.transport.abort()
+        await until(lambda: not world.proxy.clients)
+        assert world.proxy.budget.used == 0
+
+
+@run
+async def test_upstreams_that_accept_and_say_nothing_cannot_use_up_the_descriptors() -> None:
+    async with World(sockets=80) as world:
+        world.ups[0].script = silent
+        asked = [world.ask(request("pay", b"", left="700m")) for _ in range(25)]
+        statuses = {answer.status for answer in await asyncio.gather(*asked)}
+        assert statuses <= {502, 503}
+        assert len(world.ups[0].writers) <= world.proxy.most_upstream
+        world.ups[0].script = says(reply())
+        await until(lambda: not world.proxy.upstream_connections)
+        assert (await world.ask(request("pay", b""))).status == 200
