--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -1,7 +1,7 @@
 """Every decision of the balancer. Its settings, events and actions are in quartzford/interface.py.
 
 The ordinary path is the CA-S automaton: a probability P per ready server, moved by Eq. 8 on the smoothed,
-normalised cost (Eq. 6, 7); every send is a draw from P over the eligible servers. See docs/design.md.
+normalised cost (Eq. 6, 7); every send is a draw from P over the eligible servers. See README.md.
 """
 
 from __future__ import annotations
