Upstream pool: a served connection goes back to the idle pool

Checked: a loopback test of six requests one after the other opened six upstream connections, none was idle and none was closed. Ruled out: the answers were whole and keep-alive (reusable() true), take() finds what is pooled.

--- a/quartzford/net/upstream.py
+++ b/quartzford/net/upstream.py
@@ -71,6 +71,7 @@
         if not self.ready:
             return connection.close()
         connection.idle_since = monotonic()
+        self.idle.append(connection)
 
     def expire(self, before: float) -> None:
         while self.idle and self.idle[0].idle_since < before:
