--- a/quartzford/net/proxy.py
+++ b/quartzford/net/proxy.py
@@ -86,6 +86,7 @@
             self.discovery.start()
         self.loop.call_later(SUMMARY_S, self._summary)
         self.loop.call_later(OVERDUE_S, self._end_overdue)
+        self.loop.call_later(SWEEP_S, self._sweep)
 
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
