Outlier ejection: a trial, one at a time, after each ejection

Ruled out: the ejection's own span (1 s, over), P (above 0), late attempts (none open). Faulty line: _doubtful returned late or (failing > EJECT_ABOVE). A share above the bound is lowered only by an answer, and a doubtful server is sent nothing while any other is sound.

--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -233,7 +233,8 @@
         if self.now < server.ejected_until:
             return True
         late = bool(server.open) and next(iter(server.open.values())).due < self.now
-        return late or (server.failing > EJECT_ABOVE)
+        # Past its ejection, one that has failed gets one trial at a time: only a success can clear it.
+        return late or (server.failing > EJECT_ABOVE and bool(server.open))
 
     def _ramped(self) -> list[Server]:
         """Slow start: a cold server gets its ramp's part of what a warm one takes from this balancer."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -154,3 +154,33 @@
     step = before - 0.078 * before
     mean = step + (1 - step) * 0.2 / (cost - 0.3)
     assert slow.p == approx(step + 0.1 * ((mean - step) / 1 - step))
+
+
+def failed(balancer: Balancer, now: float, number: int, code: str = "error") -> str:
+    """One request to whichever server is drawn, which fails it; the server."""
+    send = sends(ask(balancer, now, number))[0]
+    balancer.handle(now + 0.5, outcome(send, 0, code, 0.5, final=True))
+    return send.server
+
+
+def test_an_ejected_server_earns_its_way_back_by_one_trial_at_a_time() -> None:
+    """What had failed once was doubtful for good: a success is what clears it, and none was ever sent."""
+    balancer = started(4)
+    for n in range(100):
+        serve(balancer, n * 20.0, n)
+    bad = failed(balancer, 5_000.0, 500)
+    until = balancer.servers[bad].ejected_until
+    assert until > 5_000.0
+    assert bad not in [serve(balancer, 5_001.0 + n, 600 + n, latency=0.5) for n in range(60)]
+    # The ejection is over: a trial comes, and while it is out there is no second one.
+    now, trials = until + 10.0, []
+    for n in range(200):
+        send = sends(ask(balancer, now + n, 1_000 + n))[0]
+        if send.server == bad:
+            trials.append(send)
+        else:
+            balancer.handle(now + n + 0.5, outcome(send, 0, "ok", 0.5))
+    assert len(trials) == 1
+    balancer.handle(now + 201.0, outcome(trials[0], 0, "ok", 10.0))
+    assert balancer.servers[bad].failing < 0.35
+    assert bad in [serve(balancer, now + 300.0 + n * 20, 2_000 + n, latency=10.0) for n in range(400)]
