SIGHUP: read the configuration again, follow the new discovery

Checked: __main__ handled SIGTERM and SIGINT only; 129 is SIGHUP's default action. Ruled out: a fault in the program (no traceback in the log). Faulty lines: __main__.serve had no handler; Proxy and Discovery had no way to take a new configuration. Now a reload sets settings, limits and classes in place, and Discovery.follow asks the new address for the whole list, as its versions may be its own.

--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -1,4 +1,4 @@
-"""Run one balancer: read EDGE_CONFIG, serve until SIGTERM."""
+"""Run one balancer: read EDGE_CONFIG, serve until SIGTERM, read it again on SIGHUP."""
 
 from __future__ import annotations
 
@@ -27,9 +27,20 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
 
 
+def reload(proxy: Proxy) -> None:
+    """A file that can't be used leaves what is in force as it is."""
+    try:
+        config = load()
+        proxy.reconfigure(config)
+    except ConfigError as error:
+        return proxy.log("reload", f"{error}; the settings in force stay")
+    proxy.log("reload", f"in force, discovery at {config.discovery[0]}:{config.discovery[1]}")
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     proxy = Proxy(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, proxy.terminate)
     give_up = loop.time() + BIND_S
--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -114,12 +114,10 @@
     """One balancer: feed it events with the time, carry out the actions it returns."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.settings = settings
+        self.configure(settings)
         self.rng = random.Random(seed)
         self.now = 0.0
         self.out: list[io.Action] = []
-        self.classes = {c.name: c for c in settings.classes}
-        self.quota = {t.name: t.quota_per_s / 1000.0 / settings.balancers for t in settings.tenants}
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
         self.flights: dict[int, Flight] = {}
@@ -132,10 +130,15 @@
         self.late = self.shed = self.shed_ms = 0.0
         self.marginal = 0.5
         self.offers: deque[tuple[float, float]] = deque(maxlen=OFFERS)
-        fields = settings.report_fields
-        self.load_field = next((fields.index(name) for name in LOADS if name in fields), None)
         self.watch_failures = -1  # -1: the list was never asked for
 
+    def configure(self, settings: io.Settings) -> None:
+        """The settings from now on; what is in flight and what was learnt stay."""
+        self.settings, fields = settings, settings.report_fields
+        self.classes = {c.name: c for c in settings.classes}
+        self.quota = {t.name: t.quota_per_s / 1000.0 / settings.balancers for t in settings.tenants}
+        self.load_field = next((fields.index(name) for name in LOADS if name in fields), None)
+
     def handle(self, now_ms: float, event: io.Event) -> list[io.Action]:
         self.out = []
         self.now = max(self.now, now_ms)
--- a/quartzford/net/discovery.py
+++ b/quartzford/net/discovery.py
@@ -83,6 +83,17 @@
         self.timer = None
         self.call = Call(self, self.version)
 
+    def follow(self) -> None:
+        """The address has changed: the new one is asked for the whole list, its versions may be its own."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.version, self.tries = None, 0
+        call, self.call = self.call, None
+        if call is not None:
+            call.close()
+        self.start()
+
     def stop(self) -> None:
         self.stopped = True
         if self.timer is not None:
--- a/quartzford/net/proxy.py
+++ b/quartzford/net/proxy.py
@@ -46,16 +46,11 @@
     """One balancer on sockets."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.config = config
         self.loop = loop
         self.anchor_ms = time.time() * 1000.0 - monotonic() * 1000.0  # once: the clock never jumps
         self.balancer = Balancer(config.settings, config.seed)
-        self.classes = {c.name: c for c in config.settings.classes}
-        self.longest_ms = max(c.deadline_ms for c in config.settings.classes)
-        self.budget = Budget(max(8 * 1024 * 1024, config.memory_bytes - BASE_BYTES))
-        spare = max(16, config.descriptors - BASE_DESCRIPTORS)
-        self.most_clients = int(CLIENT_SHARE * spare)
-        self.most_upstream = spare - self.most_clients
+        self.budget = Budget(0)
+        self._configure(config)
         self.upstreams: dict[str, Upstream] = {}
         self.upstream_connections: set[Connection] = set()
         self.connects = 0
@@ -73,6 +68,26 @@
 
     # ---- start and end
 
+    def _configure(self, config: Config) -> None:
+        self.config = config
+        self.classes = {c.name: c for c in config.settings.classes}
+        self.longest_ms = max(c.deadline_ms for c in config.settings.classes)
+        self.budget.limit = max(8 * 1024 * 1024, config.memory_bytes - BASE_BYTES)
+        spare = max(16, config.descriptors - BASE_DESCRIPTORS)
+        self.most_clients = int(CLIENT_SHARE * spare)
+        self.most_upstream = spare - self.most_clients
+
+    def reconfigure(self, config: Config) -> None:
+        """A new configuration, under load: what is in flight goes on, the list held stays until the next one.
+
+        The address for clients, the seed and the way to discovery (pushed or asked) take a restart.
+        """
+        moved = config.discovery != self.config.discovery
+        self._configure(config)
+        self.balancer.configure(config.settings)
+        if moved:
+            self.discovery.follow()
+
     async def start(self) -> None:
         try:
             known = read_listing(self.config.known)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -142,6 +142,46 @@
     uvloop.run(test())
 
 
+def test_sighup_follows_the_new_discovery_and_keeps_what_is_in_flight(tmp_path: Path) -> None:
+    """SIGHUP once ended the process; a reload loses nothing and leaves the old address."""
+
+    async def test() -> None:
+        async with program(tmp_path) as it:
+            assert it.process.stderr is not None
+            gate = asyncio.Event()
+
+            async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+                await gate.wait()
+                writer.write(reply(b"kept"))
+
+            it.up.script = wait
+            held = asyncio.ensure_future(it.ask(request("pay", b"")))
+            await until(lambda: it.up.came)
+            it.path.write_text("{")
+            it.process.send_signal(signal.SIGHUP)
+            line = await asyncio.wait_for(it.process.stderr.readline(), 20)
+            assert line.startswith(b"reload: not JSON") and it.process.returncode is None
+            await until(lambda: it.world.watches and not it.world.discovery.left)
+            elsewhere = World(2)  # knows of another upstream, and counts its versions anew
+            for peer in (*elsewhere.ups, elsewhere.discovery):
+                await peer.start()
+            elsewhere.version, elsewhere.ups[1].script = 0, says(reply(b"new"))
+            elsewhere.current = elsewhere.list(elsewhere.host(1))
+            it.path.write_text(
+                json.dumps({**it.config, "discovery": f"127.0.0.1:{elsewhere.discovery.port}"})
+            )
+            it.process.send_signal(signal.SIGHUP)
+            await until(lambda: elsewhere.watches and it.world.discovery.left)
+            gate.set()
+            assert (await held).body == b"kept"
+            assert (await it.ask(request("pay", b""))).body == b"new"
+            assert it.process.returncode is None
+            for peer in (*elsewhere.ups, elsewhere.discovery):
+                await peer.stop()
+
+    uvloop.run(test())
+
+
 def test_sigkill_and_a_start_again_under_the_same_address(tmp_path: Path) -> None:
     async def test() -> None:
         async with program(tmp_path) as it:
