--- a/quartzford/net/proxy.py
+++ b/quartzford/net/proxy.py
@@ -20,7 +20,7 @@
 
 BASE_BYTES = 56 * 1024 * 1024  # the interpreter, the module and what sockets cost
 BASE_DESCRIPTORS = 48
-CLIENT_SHARE = 0.75
+CLIENT_SHARE = 0.5  # a request open at a client needs a descriptor upstream too, and may hold a third here
 SWEEP_S = 0.25
 OVERDUE_S = 0.02  # past its time a request is ended whatever has become of its attempt or timer
 LISTED_S = 1.0
--- a/tests/test_sockets_resources.py
+++ b/tests/test_sockets_resources.py
@@ -4,7 +4,11 @@
 
 import asyncio
 
-from peers import SETTINGS, World, read_message, request, run, until
+import pytest
+import uvloop
+from peers import SETTINGS, Message, World, read_message, reply, request, run, until
+
+from quartzford.net.proxy import BASE_DESCRIPTORS
 
 
 @run
@@ -32,3 +36,26 @@
         reader, writer = await world.connect()
         writer.write(b"GET /api HTTP/1.1\r\nX-Half:")
         assert (await asyncio.wait_for(read_message(reader), 20)).status == 408
+
+
+@pytest.mark.parametrize("sockets", [256, 1024])
+def test_every_client_that_may_ask_finds_an_upstream_connection(sockets: int) -> None:
+    """Clients may hold a third of the descriptors for requests; each of these needs a second one upstream."""
+
+    async def test() -> None:
+        async with World(2, sockets=sockets) as world:
+            gate, asked = asyncio.Event(), sockets // 3
+
+            async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+                await gate.wait()
+                writer.write(reply())
+
+            for up in world.ups:
+                up.script = wait
+            asking = [asyncio.ensure_future(world.ask(request("pay", b""))) for _ in range(asked)]
+            await until(lambda: sum(len(up.came) for up in world.ups) + len(world.outcomes()) >= asked)
+            gate.set()
+            assert {answer.status for answer in await asyncio.gather(*asking)} == {200}
+            assert world.proxy.most_clients + world.proxy.most_upstream <= sockets - BASE_DESCRIPTORS
+
+    uvloop.run(test())
