Clients: silent, idle and half-sent connections end in time

A test with a silent client, one that asked once, half a head, half a body and a dripping body waited 60 s in vain.

--- a/quartzford/net/downstream.py
+++ b/quartzford/net/downstream.py
@@ -20,8 +20,10 @@
 
 HEAD_BYTES = 32 * 1024
 BODY_BYTES = 32 * 1024 * 1024
-HEAD_S = 6.0
-BODY_S = 10.0  # a body comes at 64 kB a second; this long with no byte is a stall
+IDLE_S = 2.25  # a client that is silent for longer, also since it connected, gives its descriptor back
+HEAD_S = 2.0  # a client that sends half a request is owed an error within 3 s
+BODY_S = 2.0  # this long with no byte of a body is a stall
+WHOLE_S = 5.0  # a whole request takes no longer, however slowly its bytes drip in
 READ_S = 20.0  # a client that takes no byte of its answer for this long is given up
 LINGER_S = 1.0  # after an answer to a request that was not read to its end
 PAUSED_S = 1.0
@@ -397,6 +399,7 @@
 
     def _next(self, exchange: Exchange) -> None:
         self.exchange = None
+        self.moved = monotonic()
         self._unhold()
         if self.stuck:
             self.held = exchange
@@ -456,10 +459,13 @@
             elif now - self.moved > READ_S:
                 self.transport.abort()
         elif self.exchange is None and self.in_message:
-            if self.in_head and now - self.since > HEAD_S or not self.in_head and now - self.moved > BODY_S:
+            stalled = now - self.since > HEAD_S if self.in_head else now - self.moved > BODY_S
+            if stalled or now - self.since > WHOLE_S:
                 self.reject(408)
             elif self.paused_at and not self.proxy.budget.full():
                 self.paused_at = 0.0
                 self.transport.resume_reading()
             elif self.paused_at and now - self.paused_at > PAUSED_S:
                 self.reject(503)
+        elif now - self.moved > IDLE_S:
+            self.close_if_idle()
--- a/tests/test_sockets_resources.py
+++ b/tests/test_sockets_resources.py
@@ -59,3 +59,29 @@
             assert world.proxy.most_clients + world.proxy.most_upstream <= sockets - BASE_DESCRIPTORS
 
     uvloop.run(test())
+
+
+@run
+async def test_clients_that_say_nothing_or_half_a_request_are_ended_in_time() -> None:
+    """Each was held for 6 s, 10 s or for good; descriptors are few, and 3 s is what they are owed."""
+    async with World() as world:
+        silent_one, kept, head, body, drip = [await world.connect() for _ in range(5)]
+        kept[1].write(request())
+        assert (await read_message(kept[0])).status == 200
+        head[1].write(request("pay", b"body")[:50])
+        body[1].write(request("pay", b"body")[:-2])
+        drip[1].write(request("pay", b"d" * 4000)[:-4000])
+
+        async def dripping() -> None:
+            for _ in range(100):
+                drip[1].write(b"d")
+                await asyncio.sleep(0.2)
+
+        task, answer = asyncio.ensure_future(dripping()), asyncio.ensure_future(read_message(drip[0]))
+        assert await silent_one[0].read() == b"" and await kept[0].read() == b""
+        assert (await read_message(head[0])).status == (await read_message(body[0])).status == 408
+        assert not answer.done()  # it may take longer than those, but not for ever
+        assert (await answer).status == 408
+        task.cancel()
+        await until(lambda: not world.proxy.clients)
+        assert len(world.ups[0].came) == 1 and world.proxy.budget.used == 0
