Health: an upstream that faults the request is not held to have failed

Ruled out: real errors (0 to 2 in 5 s among the usual clients' attempts). Faulty lines: Attempt.finish calls every other status 'error', and _outcome and _observe took that for the server's fault: failing, fleet_failing (which lifts the bound of ejection for true outliers), cost, retry budget.

--- a/quartzford/interface.py
+++ b/quartzford/interface.py
@@ -202,6 +202,7 @@
     spent_ms: float
     final: bool  # the request has finished; if not, it is still owed its answer
     report: tuple[float, ...] = ()
+    faulted: bool = False  # an error that the server puts down to the request itself
 
 
 class Started(NamedTuple):
--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -319,10 +319,13 @@
     def _outcome(self, event: io.Outcome) -> None:
         if event.report and self.load_field is not None and event.server in self.servers:
             self.servers[event.server].report = event.report[self.load_field]
-        self._observe(event.request, event.attempt, event.server, event.code, event.spent_ms)
+        # What a server finds fault with says nothing of its own health, and fares no better elsewhere.
+        code = "cancelled" if event.faulted else event.code
+        self._observe(event.request, event.attempt, event.server, code, event.spent_ms)
         flight = self.flights.get(event.request)
-        if flight is None or event.final:
-            self.flights.pop(event.request, None)
+        if flight is None or event.final or event.faulted:
+            if self.flights.pop(event.request, None) is not None and not event.final:
+                self.out.append(io.Fail(event.request))
             return None
         flight.open -= 1
         if event.code in PROOF and event.attempt == flight.bound_attempt:
--- a/quartzford/net/proxy.py
+++ b/quartzford/net/proxy.py
@@ -308,9 +308,9 @@
             exchange.charge(-attempt.size)
         self.counts[f"{code} {stage}".rstrip()] += 1
         report = connection.report if connection is not None and connection.status else ()
-        self.feed(
-            io.Outcome(exchange.number, attempt.number, attempt.upstream.name, code, spent, final, report)
-        )
+        faulted = code == "error" and connection is not None and connection.faults_request()
+        name = attempt.upstream.name
+        self.feed(io.Outcome(exchange.number, attempt.number, name, code, spent, final, report, faulted))
 
     # ---- what discovery tells
 
--- a/quartzford/net/upstream.py
+++ b/quartzford/net/upstream.py
@@ -227,6 +227,10 @@
             self.broken = self.broken or not self.parser.should_keep_alive()
             self.complete = True
 
+    def faults_request(self) -> bool:
+        """The answer puts the failure down to the request, and not to a time-out or a rate of its own."""
+        return 400 <= self.status < 500 and self.status not in (408, 429)
+
     def reusable(self) -> bool:
         return not self.broken and self.flushed and not self.transport.is_closing()
 
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -394,3 +394,22 @@
         world.ups[0].script = says(reply())
         await until(lambda: not world.proxy.upstream_connections)
         assert (await world.ask(request("pay", b""))).status == 200
+
+
+@run
+async def test_requests_that_upstreams_find_fault_with_do_not_spoil_their_health() -> None:
+    """Bad clients got sound upstreams ejected, and were tried up to four times each."""
+    async with World(3) as world:
+        for up in world.ups:
+            up.script = says(reply(b"", "400 Bad Request"))
+        for number in range(6):
+            assert (await world.ask(request())).status == 502
+            assert sum(len(up.came) for up in world.ups) == number + 1
+        assert set(world.outcomes()) == {"error"}
+        servers = world.proxy.balancer.servers.values()
+        assert [(s.failing, s.ejections, len(s.open)) for s in servers] == [(0.0, 0, 0)] * 3
+        assert world.proxy.balancer.fleet_failing == 0.0 and not world.proxy.exchanges
+        for up in world.ups:
+            up.script = says(reply(b"", "500 Oops"))
+        await world.ask(request("pay", b""))
+        assert max(s.failing for s in servers) > 0.0
