Load reports: one that can't be read never spoils its answer

Checked: over a socket, a report nested 40,000 deep and one with a figure of 4,000 digits each ended a good answer as a reset. Ruled out: bad UTF-8, half JSON and infinities, which were caught.

--- a/quartzford/net/upstream.py
+++ b/quartzford/net/upstream.py
@@ -35,8 +35,8 @@
     try:
         table = json.loads(text)
         values = tuple(float(table[name]) for name in names)
-    except (ValueError, TypeError, KeyError):
-        return ()
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
+        return ()  # whatever its bytes, a report must never spoil the answer that carries it
     return values if all(0 <= v < math.inf for v in values) else ()
 
 
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -413,3 +413,23 @@
             up.script = says(reply(b"", "500 Oops"))
         await world.ask(request("pay", b""))
         assert max(s.failing for s in servers) > 0.0
+
+
+@pytest.mark.parametrize(
+    "report",
+    [b"[" * 40_000, b'{"queue":' + b"9" * 4000 + b',"util":0.5}', b"\xff\xfe{", b'{"queue":1e999}', b"{" * 9],
+    ids=["deep", "huge", "no text", "infinite", "cut off"],
+)
+def test_a_load_report_that_cannot_be_read_does_not_spoil_its_answer(report: bytes) -> None:
+    """Deep nesting and figures past a float's range raised through the parser, and made a reset of it."""
+
+    async def test() -> None:
+        async with World() as world:
+            world.ups[0].script = says(
+                b"HTTP/1.1 200 OK\r\nX-Backend-Load: " + report + b"\r\nContent-Length: 4\r\n\r\ndone"
+            )
+            assert (await world.ask(request("pay", b""))).body == b"done"
+            assert world.outcomes() == ["ok"]
+            assert [e.report for e in world.events if isinstance(e, io.Outcome)] == [()]
+
+    uvloop.run(test())
