A restarted upstream is not held to what its life before left open

Seen on reading list changes against Server.open, tokens and report: a told restart kept the Server with its open attempts. Checked: a test restarts a server with one attempt out; the new life was late by that attempt, took its report, and failed by its reset. Ruled out: gone and return (a new Server already), cancel (its outcome clears open), tokens (drawn anew on joining). Faulty lines: _entry re-joined the same Server, _join reset all but open, and _outcome took any report by name alone. A new life is now a new Server, and a report counts only for an attempt that is out at this life.

--- a/quartzford/interface.py
+++ b/quartzford/interface.py
@@ -151,6 +151,8 @@
             raise ValueError("classes: at least one is needed")
 
 
+Report = tuple[float, ...]  # a load report's values, in the order of the settings
+
 # Events
 
 
@@ -201,7 +203,7 @@
     code: str
     spent_ms: float
     final: bool  # the request has finished; if not, it is still owed its answer
-    report: tuple[float, ...] = ()
+    report: Report = ()
     faulted: bool = False  # an error that the server puts down to the request itself
 
 
@@ -226,7 +228,7 @@
     server: str
     code: str
     spent_ms: float
-    report: tuple[float, ...] = ()
+    report: Report = ()
 
 
 Event = ListUpdate | Request | Timer | Outcome | Started | Gone | Probed
--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -156,7 +156,7 @@
             case io.Started():
                 # The stream is the client's now: nothing is owed, and its age is no sign of trouble.
                 self.flights.pop(event.request, None)
-                self._observe(event.request, event.attempt, event.server, "ok", event.spent_ms)
+                self._observe(event, "ok")
         return self.out
 
     # ---- automaton: cost, Eq. 8, membership, draw
@@ -317,11 +317,8 @@
             self.out.append(io.Fail(flight.request.request))
 
     def _outcome(self, event: io.Outcome) -> None:
-        if event.report and self.load_field is not None and event.server in self.servers:
-            self.servers[event.server].report = event.report[self.load_field]
         # What a server finds fault with says nothing of its own health, and fares no better elsewhere.
-        code = "cancelled" if event.faulted else event.code
-        self._observe(event.request, event.attempt, event.server, code, event.spent_ms)
+        self._observe(event, "cancelled" if event.faulted else event.code, event.report)
         flight = self.flights.get(event.request)
         if flight is None or event.final or event.faulted:
             if self.flights.pop(event.request, None) is not None and not event.final:
@@ -338,10 +335,12 @@
             self.retry_budget -= 1.0
         return self._dispatch(flight)
 
-    def _observe(self, request: int, attempt: int, name: str, code: str, spent: float) -> None:
-        """What an attempt's end tells of the server."""
-        server = self.servers.get(name)
-        sent = server.open.pop((request, attempt), None) if server is not None else None
+    def _observe(self, event: io.Outcome | io.Started, code: str, said: io.Report = ()) -> None:
+        """What an attempt's end tells of the server, in the life that it was sent to."""
+        server, spent, attempt = self.servers.get(event.server), event.spent_ms, event.attempt
+        sent = server.open.pop((event.request, attempt), None) if server is not None else None
+        if server is not None and sent is not None and said and self.load_field is not None:
+            server.report = said[self.load_field]
         if server is None or sent is None or code in ("cancelled", "moot"):
             return
         if code == "ok":
@@ -436,8 +435,11 @@
     def _entry(self, entry: io.Entry) -> None:
         if entry.state == "gone":
             return self._remove(entry.server)
+        held = self.servers.get(entry.server)
+        if held is not None and entry.started_ms > held.entry.started_ms:
+            self._remove(entry.server)  # what is out at the life before says nothing of this one
         server = self.servers.setdefault(entry.server, Server(entry))
-        if server in self.ready and (entry.started_ms > server.entry.started_ms or entry.state != "ready"):
+        if server in self.ready and entry.state != "ready":
             self._leave(server)
         server.entry = entry
         if server not in self.ready and entry.state == "ready":
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -184,3 +184,19 @@
     balancer.handle(now + 201.0, outcome(trials[0], 0, "ok", 10.0))
     assert balancer.servers[bad].failing < 0.35
     assert bad in [serve(balancer, now + 300.0 + n * 20, 2_000 + n, latency=10.0) for n in range(400)]
+
+
+def test_a_restart_is_not_held_to_what_its_life_before_left_open() -> None:
+    """Attempts lost with the old process made the new one late, failing and loaded from the start."""
+    balancer = started(2, report_fields=("depth",))
+    send = sends(ask(balancer, 0.0, 1, "pay"))[0]
+    number = int(send.server[1:])
+    balancer.handle(10.0, io.ListUpdate("changes", (entry(number, started=5.0),)))
+    server = balancer.servers[send.server]
+    assert server in balancer.ready and not server.open and sum(s.p for s in balancer.ready) == approx(1.0)
+    late = outcome(send, 0, "reset", 2_000.0)._replace(report=(90.0,))
+    assert finals(balancer.handle(2_000.0, late)) == [io.Fail(1)]  # the request still gets its answer
+    assert (server.failing, server.report, server.ejections) == (0.0, 0.0, 0)
+    now = sends(ask(balancer, 2_010.0, 2))[0]
+    balancer.handle(2_020.0, outcome(now, 0, "ok", 10.0)._replace(report=(4.0,)))
+    assert balancer.servers[now.server].report == 4.0
