Upstream answers: a reset is not the end of an answer without length

Seen on reading the outcomes: _ended took any end of the connection for the end of such an answer. Checked: half an answer, then a reset, was served with 200 as if whole, which loses the request. Ruled out: answers with a length or in chunks, which failed as they should. Faulty lines: Connection.connection_lost passed its error to nobody; _ended now completes only on a clean end.

--- a/quartzford/net/upstream.py
+++ b/quartzford/net/upstream.py
@@ -169,19 +169,20 @@
         attempt.progress()
 
     def eof_received(self) -> None:
-        self._ended()
+        self._ended(clean=True)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.upstream.proxy.upstream_connections.discard(self)
-        self._ended()
+        self._ended(clean=error is None)
         self.parser = None
 
-    def _ended(self) -> None:
+    def _ended(self, clean: bool) -> None:
+        """An answer of no stated length ends with its connection, but a break is not its end."""
         attempt = self.attempt
         if attempt is None:
             return self.upstream.proxy.drop_idle(self)
         until_close = self.status and self.length is None and not self.chunked and not self.broken
-        if until_close:
+        if until_close and clean:
             self.complete = self.broken = True
             return attempt.finish()
         attempt.fail("reset" if self.flushed or self.status else "connect_failed")
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -433,3 +433,12 @@
             assert [e.report for e in world.events if isinstance(e, io.Outcome)] == [()]
 
     uvloop.run(test())
+
+
+@run
+async def test_a_break_is_not_the_end_of_an_answer_without_length() -> None:
+    """Half an answer, cut off by a reset, was served as if it were whole."""
+    async with World() as world:
+        world.ups[0].script = resets(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
+        assert (await world.ask(request("pay", b""))).status == 502
+        assert world.outcomes() == ["reset"]
