Upstream answers: nothing behind a whole answer is taken for part of it

Seen on reading the parser's callbacks against the good answers that bring a second copy right behind. Checked: fields of a second answer in the same bytes reached the client with the first, and its load report was believed. Ruled out: its body (dropped) and the reuse of the connection (broken, so closed). Faulty lines: Connection.on_header had no guard for an answer that is complete, as on_body has.

--- a/quartzford/net/upstream.py
+++ b/quartzford/net/upstream.py
@@ -193,6 +193,8 @@
         self.broken = self.broken or self.complete  # bytes follow the whole answer
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete:  # of a second answer, right behind the first
+            return
         self.head_bytes += len(name) + len(value)
         key = name.lower()
         if key not in DROPPED:
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -442,3 +442,15 @@
         world.ups[0].script = resets(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
         assert (await world.ask(request("pay", b""))).status == 502
         assert world.outcomes() == ["reset"]
+
+
+@run
+async def test_what_stands_behind_an_answer_is_no_part_of_it() -> None:
+    """Fields of a second answer in the same bytes were passed on with the first, and its report believed."""
+    async with World() as world:
+        more = 'X-Second: yes\r\nX-Backend-Load: {"queue":9,"util":1}\r\n'
+        world.ups[0].script = says(reply(b"first") + reply(b"second", fields=more))
+        answer = await world.ask(request("pay", b""))
+        assert answer.body == b"first" and "x-second" not in answer.fields
+        assert [e.report for e in world.events if isinstance(e, io.Outcome)] == [()]
+        await until(lambda: not world.proxy.upstream_connections)
