Admission: made-up tenants take no table entry each

Seen on asking of each table who gives its entries back: Balancer.rates is never cleared. Checked: fifty made-up names left fifty entries. Ruled out: servers and upstreams (removed when gone), flights, exchanges and streams (empty when quiet). Faulty line: _admits made a Rate for any name a client sent. Names that the settings don't tell of now share one.

--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -386,7 +386,8 @@
 
     def _admits(self, flight: Flight) -> bool:
         """Load shedding: the shed share of the offered work is refused, least worth per work first."""
-        kind, tenant = flight.kind, flight.request.tenant
+        kind, name = flight.kind, flight.request.tenant
+        tenant = name if name in self.quota else ""  # a name that nobody has told of gets no entry of its own
         rate = self.rates.setdefault(tenant, Rate())
         rate.add(self.now)
         within = min(1.0, self.quota.get(tenant, 0.0) / max(rate.read(self.now), 1e-9)) if self.quota else 1.0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -200,3 +200,11 @@
     now = sends(ask(balancer, 2_010.0, 2))[0]
     balancer.handle(2_020.0, outcome(now, 0, "ok", 10.0)._replace(report=(4.0,)))
     assert balancer.servers[now.server].report == 4.0
+
+
+def test_made_up_tenants_leave_no_entries_behind() -> None:
+    """Each name that a client made up took a table entry for good."""
+    balancer = started(2, tenants=(io.Tenant("acme", 100.0),))
+    for n, name in enumerate(("acme", *(f"made-up-{n}" for n in range(50)))):
+        balancer.handle(float(n), io.Request(n, "read", 400.0, name))
+    assert set(balancer.rates) == {"acme", ""}
