Bad input: a request with no id is answered 400 and goes to no upstream

Ruled out: unknown classes and unreadable deadlines, which the tests want passed on. Faulty lines: Client read no X-Correlation-Id at all.

--- a/quartzford/net/downstream.py
+++ b/quartzford/net/downstream.py
@@ -29,6 +29,7 @@
 PAUSED_S = 1.0
 PIPELINED = 16
 HIGH_BYTES = 16 * 1024
+HEALTH = b"/_health"
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
@@ -41,6 +42,7 @@
     b" x-time-left".split()
 )
 READ = {
+    b"x-correlation-id": "id",
     b"x-service-class": "name",
     b"x-account": "tenant",
     b"x-time-left": "left",
@@ -253,6 +255,8 @@
                 self.error = self.error or 400  # two readers could frame this in two ways
         elif "length" in read and int(read["length"]) > BODY_BYTES:
             self.error = self.error or 413
+        if not read.get("id", "").strip() and self.target.partition(b"?")[0] != HEALTH:
+            self.error = self.error or 400  # no upstream has a use for it
         if "expect" in read and not self.error and self.exchange is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -312,7 +316,7 @@
         exchange.lengthless = not self.body_bytes and "length" not in read and not self.chunked
         exchange.charged, self.body, self.body_bytes = self.body_bytes, b"", 0
         self.paused_at = 0.0
-        if self.target.partition(b"?")[0] == b"/_health":
+        if self.target.partition(b"?")[0] == HEALTH:
             return exchange, None
         name = read.get("name", "")
         kind = proxy.classes.get(name)
--- a/tests/test_sockets_requests.py
+++ b/tests/test_sockets_requests.py
@@ -203,6 +203,9 @@
         (b"GET / HTTP/1.1\r\n" + LONG * 20, 431),
         (b"GET /" + b"a" * 40_000 + b" HTTP/1.1\r\n\r\n", 431),
         (b"POST / HTTP/1.1\r\nContent-Length: 33554433\r\n\r\nabc", 413),
+        # What tells a request from others is missing: upstreams can only turn it away, at the cost of a try.
+        (request("pay", b"").replace(b"X-Correlation-Id: c1\r\n", b""), 400),
+        (request().replace(b"X-Correlation-Id: c1\r\n", b"X-Correlation-Id: \r\n"), 400),
     ],
 )
 def test_what_is_no_request_is_answered_and_closed(data: bytes, status: int) -> None:
