Health by class: a class that an upstream turned away goes elsewhere for a while

Checked by probes of each failed request's attempts and of latencies by class and upstream: from second 5 to 16, six of ten upstreams answered every keyed attempt 'turned away' after 78 ms and served the other classes as ever; four such tries used up the aim. Ruled out: own time-outs (usual was 59 ms, patience 236 ms), slow upstreams (other classes at their usual latency), the retry budget. Faulty lines: _health counts 'full' as no failure and nothing else kept it, so the next keyed request was drawn to the same upstream.

--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -34,8 +34,7 @@
 EJECT_MAX_MS = 8_000.0
 EJECT_AT_MOST = 0.67  # of the ready servers, so that ejection never empties the fleet
 SUSPECT = 4.0  # an attempt out for this multiple of its class's usual latency makes its server suspect
-SPARE = 0.5
-RATE_MS = 4_000.0
+SPARE, RATE_MS = 0.5, 4_000.0
 RETRY_SHARE = 0.1
 HOLD_MS = 25.0  # a request with no eligible server is looked at again after this
 MARGIN_MS = 3.0  # an answer needs this long to reach the client
@@ -73,6 +72,7 @@
     tokens: float = 1.0  # slow-start budget
     tokens_ms: float = -math.inf
     open: dict[tuple[int, int], Sent] = field(default_factory=dict)
+    shut: dict[str, float] = field(default_factory=dict)  # classes turned away, and till when
 
 
 @dataclass(slots=True, eq=False)
@@ -123,12 +123,10 @@
         self.flights: dict[int, Flight] = {}
         self.usual: dict[str, float] = {}  # smoothed latency of good answers, by class
         self.peaks: deque[tuple[float, float]] = deque()
-        self.fleet_failing = 0.0
-        self.retry_budget = 1.0
+        self.fleet_failing, self.retry_budget = 0.0, 1.0
         self.rates: dict[str, Rate] = {}  # by tenant
         self.arrivals, self.answers = Rate(), Rate()
-        self.late = self.shed = self.shed_ms = 0.0
-        self.marginal = 0.5
+        self.late, self.shed, self.shed_ms, self.marginal = 0.0, 0.0, 0.0, 0.5
         self.offers: deque[tuple[float, float]] = deque(maxlen=OFFERS)
         self.watch_failures = -1  # -1: the list was never asked for
 
@@ -219,7 +217,7 @@
         """The servers that a send of this request may be drawn from; drains are not in self.ready."""
         group = [s for s in self._ramped() if flight.bound is None or self._in_group(flight, s)]
         fresh = [s for s in group if s.entry.server not in flight.tried]
-        sound = [s for s in fresh if not self._doubtful(s)]
+        sound = [s for s in fresh if not self._doubtful(s, flight.kind)]
         # Bounded load: a server over its share of what is out from here waits while others are under theirs.
         out = sum(len(s.open) for s in self.ready)
         calm = [s for s in sound if len(s.open) <= s.p * out + SPARE]
@@ -232,8 +230,8 @@
             return True
         return here.zone == home.zone if kind.group == "zone" else here.cell == home.cell
 
-    def _doubtful(self, server: Server) -> bool:
-        if self.now < server.ejected_until:
+    def _doubtful(self, server: Server, kind: io.ServiceClass) -> bool:
+        if self.now < max(server.ejected_until, server.shut.get(kind.name, 0.0)):
             return True
         late = bool(server.open) and next(iter(server.open.values())).due < self.now
         # Past its ejection, one that has failed gets one trial at a time: only a success can clear it.
@@ -352,6 +350,8 @@
             self.peaks.append((self.now, spent))
         while self.peaks and self.now - self.peaks[0][0] > FAIL_MEMORY_MS:
             self.peaks.popleft()
+        if code == "full":  # it may well serve the other classes
+            server.shut[sent.kind.name] = self.now + EJECT_MS
         self._health(server, code)
         if code in ("ok", "timeout") or (code == "full" and attempt >= 2):
             self._pace(code == "full" or spent > LATE_FROM * sent.kind.aim_ms)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -208,3 +208,22 @@
     for n, name in enumerate(("acme", *(f"made-up-{n}" for n in range(50)))):
         balancer.handle(float(n), io.Request(n, "read", 400.0, name))
     assert set(balancer.rates) == {"acme", ""}
+
+
+def test_a_class_that_a_server_turns_away_goes_elsewhere_and_the_others_stay() -> None:
+    """Servers that took one class and turned another away, late, were sent all four tries of a request."""
+    balancer, sent = started(6), {"read": 0, "book": 0}
+    for n in range(600):
+        now, name = 20.0 * n, ("read", "book")[n % 2]
+        send = sends(ask(balancer, now, n, name))[0]
+        bad = send.server in ("s0", "s1", "s2", "s3")
+        sent[name] += bad
+        code = "full" if bad and name == "book" else "ok"
+        balancer.handle(now + 10.0, outcome(send, 0, code, 10.0, final=True))
+    # A trial a second for each of the four over 12 s, and no more; reads go on as ever.
+    assert 4 <= sent["book"] <= 4 * 13 and sent["read"] > 100
+    # Where all turn a class away, it is still sent: they may have room again.
+    for n in range(600, 620):
+        send = sends(ask(balancer, 12_000.0 + n, n, "book"))[0]
+        balancer.handle(12_000.5 + n, outcome(send, 0, "full", 0.5, final=True))
+    assert sends(ask(balancer, 12_700.0, 700, "book"))
