Configuration: whatever stands in the file, start ends with exit 2 and one line

Checked: nesting 100,000 deep, a port of 5,000 digits, figures past a float's range and names that are no text each ended the start with a traceback and exit 1. Ruled out: missing keys, wrong kinds, infinities, which were named. Faulty lines: read_config caught ValueError of json.loads only; names went unchecked into tables.

--- a/quartzford/config.py
+++ b/quartzford/config.py
@@ -152,7 +152,10 @@
         _want(raw, section, dict)
     _want(raw, "classes", list)
     try:
-        return read_settings(raw)
+        settings = read_settings(raw)
+        for name in [c.name for c in settings.classes] + [t.name for t in settings.tenants]:
+            _want({"name": name}, "name", str)
+        return settings
     except KeyError as error:
         raise ConfigError(f"settings: {error.args[0]}: missing") from None
     except (TypeError, ValueError, AttributeError) as error:
@@ -160,10 +163,18 @@
 
 
 def read_config(text: str) -> Config:
+    """The configuration in a file's text; ConfigError, and nothing else, where it can't be used."""
     try:
         table = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"not JSON: {error}") from None
+    try:
+        return _config(table)
+    except (TypeError, ValueError, OverflowError) as error:  # figures past a float's range, say
+        raise ConfigError(f"{type(error).__name__}: {error}") from None
+
+
+def _config(table: Any) -> Config:
     settings = _settings(table)
     raw = table["settings"]
     return Config(
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -200,6 +200,12 @@
     ("change", "key"),
     [
         ("{", "not JSON"),
+        pytest.param("[" * 100_000, "not JSON", id="deep"),
+        pytest.param({"listen": "a:" + "9" * 5000}, "digits", id="port"),
+        ({"limits": {"memory_mb": 1e305, "sockets": 10}}, "infinity"),
+        pytest.param({"limits": {"memory_mb": 10**400, "sockets": 10}}, "too large", id="memory"),
+        ({"settings": {**World().settings, "report": {"fields": [["x"]]}}}, "unhashable"),
+        ({"settings": {**World().settings, "customers": [{"name": {}, "quotaPerS": 1}]}}, "name"),
         ({"listen": None}, "listen"),
         ({"listen": "127.0.0.1"}, "listen"),
         ({"discovery": "x:99999"}, "discovery"),
