--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from quartzford.config import Config, ConfigError, read_config
-from quartzford.net.proxy import Proxy
+from quartzford.node import Node
 
 BIND_S = 5.0  # the address may still be held by the process that went before
 
@@ -27,32 +27,32 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
 
 
-def reload(proxy: Proxy) -> None:
+def reload(node: Node) -> None:
     """A file that can't be used leaves what is in force as it is."""
     try:
         config = load()
-        proxy.reconfigure(config)
+        node.reconfigure(config)
     except ConfigError as error:
-        return proxy.log("reload", f"{error}; the settings in force stay")
-    proxy.log("reload", f"in force, discovery at {config.discovery[0]}:{config.discovery[1]}")
+        return node.log.line("reload", f"{error}; the settings in force stay")
+    node.log.line("reload", f"in force, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
 
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
-    proxy = Proxy(config, loop)
-    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
+    node = Node(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, proxy.terminate)
+        loop.add_signal_handler(number, node.terminate)
     give_up = loop.time() + BIND_S
     while True:
         try:
-            await proxy.start()
+            await node.start()
             break
         except OSError as error:
             if error.errno != errno.EADDRINUSE or loop.time() > give_up:
                 raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {error}") from None
             await asyncio.sleep(0.05)
-    await proxy.finished
+    await node.finished
 
 
 def main() -> int:
--- /dev/null
+++ b/quartzford/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Who answers."""
--- a/quartzford/net/upstream.py
+++ b/quartzford/backends/http1.py
@@ -8,14 +8,14 @@
 import math
 import socket
 from collections import deque
-from time import monotonic
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, NamedTuple, Protocol, cast
 
 import httptools
 
-if TYPE_CHECKING:
-    from quartzford.net.downstream import Exchange
-    from quartzford.net.proxy import Proxy
+from quartzford import engine
+from quartzford import interface as io
+from quartzford.engine import Budget, Clock, Engine, Handle
+from quartzford.membership.listing import Listing
 
 TICK_S = 0.001  # what the loop's timers are exact to
 HOLD_BYTES = 64 * 1024  # longer answers are streamed: a shorter one that breaks can be tried again
@@ -23,6 +23,7 @@
 JOIN_BYTES = 64 * 1024
 PAUSE_S = 0.15
 REUSE_SHARE = 0.6
+STALL_S = 4.0  # a long answer pauses for a tenth of a second; one this silent is broken
 # Hop-by-hop fields, and those that are framed or consumed here
 DROPPED = frozenset(
     b"connection keep-alive proxy-connection proxy-authenticate te trailer transfer-encoding upgrade"
@@ -40,13 +41,108 @@
     return values if all(0 <= v < math.inf for v in values) else ()
 
 
+class Answer(NamedTuple):
+    """A whole 200 answer: its fields as they go on, and its body in pieces."""
+
+    fields: list[bytes]
+    chunks: list[bytes]
+
+
+class HttpCall(Protocol):
+    """What this backend needs of a call: the request's bytes, and a way to pass a long answer on."""
+
+    deadline: float
+    body: bytes | bytearray
+    streams: bool  # an answer is passed on as it comes
+
+    def upstream_head(self, left: float) -> bytes:
+        """The request's head, to an upstream that is given so many seconds."""
+
+    def charge(self, size: int) -> None:
+        """So many bytes of an answer are held for this call (fewer, if below 0)."""
+
+    def release(self) -> None:
+        """Nothing is held for this call any more."""
+
+    def begin(self, fields: list[bytes], length: int | None) -> None:
+        """The head of an answer that is passed on as it comes."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def stuck(self) -> bool:
+        """The client takes its answer more slowly than it comes."""
+
+
+class HttpBackend:
+    """The upstreams of the list, their connections, and the bound on them all."""
+
+    def __init__(self, core: Engine, budget: Budget, clock: Clock, loop: asyncio.AbstractEventLoop) -> None:
+        self.engine, self.budget, self.clock, self.loop = core, budget, clock, loop
+        self.now = clock.now
+        self.upstreams: dict[str, Upstream] = {}
+        self.connections: set[Connection] = set()
+        self.connects = 0
+        self.streams: set[Attempt] = set()
+        self.most = 16
+        self.idle_ms = self.connect_ms = 1000.0
+        self.report_names: tuple[str, ...] = ()
+
+    def configure(self, most: int, idle_ms: float, connect_ms: float, report_names: tuple[str, ...]) -> None:
+        """most: connections at once; then how long one may stand idle or take to come up."""
+        self.most, self.idle_ms, self.connect_ms = most, idle_ms, connect_ms
+        self.report_names = report_names
+
+    def attempt(self, call: Any, number: int, server: str, sent: float, due: float, finish: float) -> Attempt:
+        return Attempt(self, call, number, self.upstreams[server], sent, due, finish)
+
+    def may_connect(self) -> bool:
+        if len(self.connections) + self.connects < self.most:
+            return True
+        for upstream in self.upstreams.values():
+            if upstream.idle:
+                upstream.idle.popleft().close()
+                return True
+        return False
+
+    def listed(self, listing: Listing) -> None:
+        if listing.whole:
+            named = {entry.server for entry in listing.entries}
+            for name in [name for name in self.upstreams if name not in named]:
+                self.upstreams[name].retire()
+        for entry, address in zip(listing.entries, listing.addresses, strict=True):
+            self._entry(entry, address)
+
+    def _entry(self, entry: io.Entry, address: tuple[str, int]) -> None:
+        held = self.upstreams.get(entry.server)
+        if entry.state != "ready":
+            if held is not None:
+                held.retire()
+            return
+        if held is None or not held.ready or held.address != address or held.born_ms != entry.started_ms:
+            if held is not None:
+                held.retire()
+            self.upstreams[entry.server] = Upstream(self, entry.server, address, entry.started_ms)
+
+    def sweep(self) -> None:
+        """Connections that stood idle for long, upstreams that are gone, answers that have stopped."""
+        now = self.now()
+        before = now - REUSE_SHARE * self.idle_ms / 1000.0
+        for name, upstream in list(self.upstreams.items()):
+            upstream.expire(before)
+            if not upstream.ready and name not in self.engine.balancer.servers:
+                del self.upstreams[name]
+        for attempt in list(self.streams):
+            if now - attempt.moved > STALL_S and not attempt.call.stuck():
+                attempt.fail("reset")
+
+
 class Upstream:
     """One life of an upstream at one address; a restart or a new address makes another."""
 
-    __slots__ = ("proxy", "name", "address", "born_ms", "ready", "idle")
+    __slots__ = ("pool", "name", "address", "born_ms", "ready", "idle")
 
-    def __init__(self, proxy: Proxy, name: str, address: tuple[str, int], born_ms: float) -> None:
-        self.proxy = proxy
+    def __init__(self, pool: HttpBackend, name: str, address: tuple[str, int], born_ms: float) -> None:
+        self.pool = pool
         self.name = name
         self.address = address
         self.born_ms = born_ms
@@ -70,9 +166,17 @@
     def put(self, connection: Connection) -> None:
         if not self.ready:
             return connection.close()
-        connection.idle_since = monotonic()
+        connection.idle_since = self.pool.now()
         self.idle.append(connection)
 
+    def drop(self, connection: Connection) -> None:
+        """An idle connection that an upstream has ended."""
+        try:
+            self.idle.remove(connection)
+        except ValueError:
+            return
+        connection.close()
+
     def expire(self, before: float) -> None:
         while self.idle and self.idle[0].idle_since < before:
             self.idle.popleft().close()
@@ -139,7 +243,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
-        self.upstream.proxy.upstream_connections.add(self)
+        self.upstream.pool.connections.add(self)
 
     def resume_writing(self) -> None:
         self.flushed = True
@@ -147,7 +251,7 @@
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
         if attempt is None:
-            self.upstream.proxy.drop_idle(self)
+            self.upstream.drop(self)
             return self.close()
         try:
             self.parser.feed_data(data)
@@ -172,7 +276,7 @@
         self._ended(clean=True)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.upstream.proxy.upstream_connections.discard(self)
+        self.upstream.pool.connections.discard(self)
         self._ended(clean=error is None)
         self.parser = None
 
@@ -180,7 +284,7 @@
         """An answer of no stated length ends with its connection, but a break is not its end."""
         attempt = self.attempt
         if attempt is None:
-            return self.upstream.proxy.drop_idle(self)
+            return self.upstream.drop(self)
         until_close = self.status and self.length is None and not self.chunked and not self.broken
         if until_close and clean:
             self.complete = self.broken = True
@@ -204,7 +308,7 @@
         elif key == b"transfer-encoding":
             self.chunked = True
         elif key == b"x-backend-load":
-            self.report = read_report(value, self.upstream.proxy.config.report_names)
+            self.report = read_report(value, self.upstream.pool.report_names)
         elif key == b"x-unprocessed":
             self.unprocessed = value.strip() == b"1"
 
@@ -238,32 +342,28 @@
         return not self.broken and self.flushed and not self.transport.is_closing()
 
 
-class Attempt:
-    """One try of one request at one upstream; it ends with exactly one outcome."""
+class Attempt(engine.Attempt):
+    """One try of one request at one upstream, on one connection."""
 
     __slots__ = (
-        "proxy", "exchange", "number", "upstream", "sent", "due", "finish_by", "timer", "connecting",
-        "connection", "chunks", "size", "streaming", "moved", "over",
+        "pool", "upstream", "finish_by", "timer", "connecting", "connection", "chunks", "size", "moved",
     )  # fmt: skip
+    call: HttpCall
 
     def __init__(
-        self, proxy: Proxy, exchange: Exchange, number: int, upstream: Upstream, due: float, finish: float
-    ) -> None:
-        self.proxy = proxy
-        self.exchange = exchange
-        self.number = number
+        self, pool: HttpBackend, call: HttpCall, number: int, upstream: Upstream, sent: float, due: float,
+        finish: float,
+    ) -> None:  # fmt: skip
+        super().__init__(call, number, upstream.name, sent, due)
+        self.pool = pool
         self.upstream = upstream
-        self.sent = monotonic()
-        self.due = due
         self.finish_by = finish
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Handle | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
         self.chunks: list[bytes] = []
         self.size = 0
-        self.streaming = False
-        self.moved = self.sent
-        self.over = False
+        self.moved = sent
 
     def start(self) -> None:
         self._arm()
@@ -271,22 +371,22 @@
         if connection is not None:
             connection.reused = True
             self._write(connection)
-        elif self.proxy.may_connect():
-            self.connecting = self.proxy.loop.create_task(self._connect())
+        elif self.pool.may_connect():
+            self.connecting = self.pool.loop.create_task(self._connect())
         else:
-            self.proxy.loop.call_soon(self.fail, "moot")
+            self.pool.clock.call_soon(self.fail, "moot")
 
     def _arm(self) -> None:
-        self.timer = self.proxy.loop.call_later(self.due - monotonic(), self._timed_out)
+        self.timer = self.pool.clock.call_later(self.due - self.pool.now(), self._timed_out)
 
     async def _connect(self) -> None:
-        loop = self.proxy.loop
+        loop = self.pool.loop
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.proxy.connects += 1
+        self.pool.connects += 1
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            async with asyncio.timeout(self.proxy.config.connect_ms / 1000.0):
+            async with asyncio.timeout(self.pool.connect_ms / 1000.0):
                 await loop.sock_connect(sock, self.upstream.address)
             _, connection = await loop.create_connection(lambda: Connection(self.upstream, sock), sock=sock)
         except (OSError, TimeoutError):
@@ -297,27 +397,27 @@
             sock.close()
             raise
         finally:
-            self.proxy.connects -= 1
+            self.pool.connects -= 1
         self.connecting = None
         if self.over:
             return self.upstream.put(connection)
-        if not self.proxy.stands(self):
+        if not self.upstream.ready or not self.pool.engine.stands(self):
             self.upstream.put(connection)
             return self.fail("moot")
         self._write(connection)
 
     def _write(self, connection: Connection) -> None:
         self.connection = connection
-        left = min(self.due, self.exchange.deadline) - monotonic()
-        connection.begin(self, self.exchange.upstream_head(left), self.exchange.body)
+        left = min(self.due, self.call.deadline) - self.pool.now()
+        connection.begin(self, self.call.upstream_head(left), self.call.body)
 
     def _timed_out(self) -> None:
         self.timer = None
-        if monotonic() < self.due - TICK_S:
+        if self.pool.now() < self.due - TICK_S:
             return self._arm()
         connection = self.connection
         unsized = connection is not None and connection.status == 200 and connection.length is None
-        if connection is not None and unsized and self.size and monotonic() - self.moved < PAUSE_S:
+        if connection is not None and unsized and self.size and self.pool.now() - self.moved < PAUSE_S:
             return self._stream(connection)
         self.fail("timeout" if self.connection is not None else "connect_failed")
 
@@ -325,15 +425,15 @@
 
     def body(self, data: bytes) -> None:
         if self.streaming:
-            self.exchange.client.write(data)
+            self.call.write(data)
             return
         self.chunks.append(data)
         self.size += len(data)
-        self.exchange.charge(len(data))
+        self.call.charge(len(data))
 
     def progress(self) -> None:
         """More of the answer has come: begin to stream one that is long."""
-        self.moved = monotonic()
+        self.moved = self.pool.now()
         connection = self.connection
         # An answer that has begun is nearly there: to give it up would waste the work done. But one that
         # stops half way seldom goes on, so what can be sent again is, well before patience would end.
@@ -346,23 +446,23 @@
                 self.fail("error")  # nobody reads the body of a long answer that is not served
             return
         long = self.size > HOLD_BYTES or (connection.length or 0) > HOLD_BYTES
-        if self.exchange.streams or long or self.proxy.budget.full():
+        if self.call.streams or long or self.pool.budget.full():
             self._stream(connection)
 
     def _stream(self, connection: Connection) -> None:
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        self.streaming = True
-        self.proxy.started(self)
-        self.exchange.client.begin(self.exchange, connection.fields, connection.length)
+        self.pool.streams.add(self)
+        self.pool.engine.started(self)
+        self.call.begin(connection.fields, connection.length)
         chunks, self.chunks = self.chunks, []
-        self.exchange.release()
+        self.call.release()
         for data in chunks:
-            self.exchange.client.write(data)
+            self.call.write(data)
 
     def pause(self, paused: bool) -> None:
-        self.moved = monotonic()
+        self.moved = self.pool.now()
         if self.connection is not None and not self.connection.transport.is_closing():
             transport = self.connection.transport
             (transport.pause_reading if paused else transport.resume_reading)()
@@ -378,7 +478,7 @@
         else:
             code = "error"
         self._detach(keep=connection.reusable())
-        self.proxy.ended(self, code, connection)
+        self._tell(code, connection)
 
     def fail(self, code: str) -> None:
         """The attempt ends without a whole answer."""
@@ -386,7 +486,19 @@
             return
         connection = self.connection
         self._detach(keep=False)
-        self.proxy.ended(self, code, connection)
+        self._tell(code, connection)
+
+    def _tell(self, code: str, connection: Connection | None) -> None:
+        self.pool.streams.discard(self)
+        core = self.pool.engine
+        if connection is None:
+            return core.ended(self, code)
+        if code == "ok":
+            return core.ended(self, code, Answer(connection.fields, self.chunks), connection.report)
+        stage = "in its answer" if connection.head_bytes else "unanswered"
+        report = connection.report if connection.status else ()
+        faulted = code == "error" and connection.faults_request()
+        core.ended(self, code, None, report, faulted, stage)
 
     def _detach(self, keep: bool) -> None:
         self.over = True
--- /dev/null
+++ b/quartzford/engine/__init__.py
@@ -0,0 +1,11 @@
+"""Drives the decision module for any front, over any backend; knows no protocol and no socket."""
+
+from quartzford.engine.budget import Budget
+from quartzford.engine.clock import Clock, Handle, LoopClock
+from quartzford.engine.core import Engine
+from quartzford.engine.flight import Attempt, Backend, Call
+from quartzford.engine.log import Log, StderrLog
+
+__all__ = [
+    "Attempt", "Backend", "Budget", "Call", "Clock", "Engine", "Handle", "Log", "LoopClock", "StderrLog",
+]  # fmt: skip
--- /dev/null
+++ b/quartzford/engine/budget.py
@@ -0,0 +1,14 @@
+"""A bound on the bytes that fronts and backends hold together."""
+
+from __future__ import annotations
+
+
+class Budget:
+    """Bytes held over all connections; `full` is asked before more is read."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+
+    def full(self) -> bool:
+        return self.used >= self.limit
--- /dev/null
+++ b/quartzford/engine/core.py
@@ -0,0 +1,201 @@
+"""Turns what fronts, backends and the list tell into the module's events, and carries out its actions.
+
+It owns the requests that are owed an answer, their attempts and deadlines, and the guard that ends what is
+overdue. Clock and seed are handed in; it knows no protocol and no socket.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from quartzford import interface as io
+from quartzford.engine.clock import Clock
+from quartzford.engine.flight import Attempt, Call
+from quartzford.engine.log import Log
+from quartzford.logic import Balancer
+
+OVERDUE_S = 0.02  # past its time a request is ended whatever has become of its attempt or timer
+NUMBERS = 2**32
+
+
+class Engine:
+    """Drives one decision module."""
+
+    def __init__(self, settings: io.Settings, seed: int, clock: Clock, log: Log) -> None:
+        self.clock, self.log = clock, log
+        self.balancer = Balancer(settings, seed)
+        self.calls: dict[int, Call] = {}
+        self.counts: Counter[str] = Counter()  # outcomes and answers since the last summary
+        self.watch: Callable[[], None] = lambda: None  # asks for the list, where the module says when
+        self._number = 0
+        self._adopt(settings)
+
+    def _adopt(self, settings: io.Settings) -> None:
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.longest_ms = max(c.deadline_ms for c in settings.classes)
+
+    def reconfigure(self, settings: io.Settings) -> None:
+        """New settings, under load: what is in flight goes on, what was learnt stays."""
+        self._adopt(settings)
+        self.balancer.configure(settings)
+
+    def start(self) -> None:
+        self.clock.call_later(OVERDUE_S, self._end_overdue)
+
+    # ---- the module
+
+    def feed(self, event: io.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.clock.unix_ms(), event)
+        except Exception:
+            self.log.trouble("module")
+            return self._abandon(getattr(event, "request", -1))
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception:
+                self.log.trouble("action")
+                self._abandon(getattr(action, "request", -1))
+
+    def _abandon(self, number: int) -> None:
+        """End the one request that an exception concerned, if any."""
+        call = self.calls.get(number)
+        if call is not None:
+            attempt = call.attempt
+            self._close(call)
+            self.balancer.flights.pop(call.number, None)
+            if attempt is not None:
+                attempt.fail("cancelled")
+            call.broken()
+
+    def _act(self, action: io.Action) -> None:
+        match action:
+            case io.Send():
+                self._send(self.calls[action.request], action)
+            case io.Refuse(request, pause, over_share):
+                call = self._finish(request, "refused")
+                call.refused(pause, over_share)
+            case io.Fail(request):
+                self._finish(request, "failed").failed()
+            case io.Wake(after, token):
+                self.clock.call_later(max(0.0, after) / 1000.0, self.feed, io.Timer(token))
+            case io.Watch():
+                self.watch()
+            case io.Cancel(request, number):
+                attempt = self.calls[request].attempt
+                if attempt is not None and attempt.number == number and not attempt.streaming:
+                    attempt.fail("cancelled")
+            case io.Log(text):
+                self.log.line("module", text)
+            case io.Probe(server):
+                self.log.line("module", f"probe of {server} asked for, but this balancer sends none")
+
+    def _send(self, call: Call, send: io.Send) -> None:
+        now = self.clock.now()
+        time_out = now + (send.time_out_ms / 1000.0 if send.time_out_ms else math.inf)
+        due = min(call.deadline, time_out)
+        finish = min(call.deadline, max(due, now + send.finish_ms / 1000.0))
+        attempt = call.backend.attempt(call, call.sends, send.server, now, due, finish)
+        call.sends += 1
+        call.attempt = attempt
+        attempt.start()
+
+    def _finish(self, request: int, how: str) -> Call:
+        call = self.calls[request]
+        self.counts[how] += 1
+        self._close(call)
+        return call
+
+    def _close(self, call: Call) -> None:
+        self.calls.pop(call.number, None)
+        call.done = True
+        call.attempt = None
+
+    # ---- what fronts tell
+
+    def next_number(self) -> int:
+        """A number that no open request has."""
+        self._number = (self._number + 1) % NUMBERS
+        while self._number in self.calls:
+            self._number = (self._number + 1) % NUMBERS
+        return self._number
+
+    def arrived(self, call: Call, request: io.Request) -> None:
+        """A whole request has come, and is owed its one answer."""
+        self.calls[call.number] = call
+        self.feed(request)
+
+    def gone(self, call: Call) -> None:
+        """The client has left: nothing is owed, and no further attempt is made."""
+        if call.done:
+            return
+        attempt = call.attempt
+        self.counts["client gone"] += 1
+        self._close(call)
+        call.left()
+        self.feed(io.Gone(call.number))
+        if attempt is not None:
+            attempt.fail("cancelled")
+
+    # ---- what attempts tell
+
+    def stands(self, attempt: Attempt) -> bool:
+        """The decision behind an attempt not begun still holds; of its server, the backend knows."""
+        call = attempt.call
+        return (
+            not call.done
+            and self.clock.now() < attempt.due
+            and self.balancer.stands(self.clock.unix_ms(), call.number)
+        )
+
+    def started(self, attempt: Attempt) -> None:
+        """The attempt's answer is being passed on from now: it can't be taken back."""
+        attempt.streaming = True
+        spent = max(0.01, (self.clock.now() - attempt.sent) * 1000.0)
+        self.feed(io.Started(attempt.call.number, attempt.number, attempt.server, spent))
+
+    def ended(
+        self, attempt: Attempt, code: str, answer: Any = None, report: io.Report = (), faulted: bool = False,
+        stage: str = "", owed: bool = True,
+    ) -> None:  # fmt: skip
+        """An attempt has ended. Not owed: the call ends with it, for nobody could send it again."""
+        call = attempt.call
+        spent = max(0.01, (self.clock.now() - attempt.sent) * 1000.0)
+        if call.attempt is attempt:
+            call.attempt = None
+        final = call.done or code == "ok" or attempt.streaming or not owed
+        if final and not call.done:
+            self._close(call)
+            if attempt.streaming:
+                call.streamed(code == "ok")
+            elif code == "ok":
+                call.served(answer)
+            else:
+                self.counts["failed"] += 1
+                call.failed()
+        elif not call.done:
+            call.retried()
+        self.counts[f"{code} {stage}".rstrip()] += 1
+        name, number = attempt.server, attempt.number
+        self.feed(io.Outcome(call.number, number, name, code, spent, final, report, faulted))
+
+    # ---- what the list tells
+
+    def listed(self, how: str, entries: tuple[io.Entry, ...] = ()) -> None:
+        self.feed(io.ListUpdate(how, entries))
+
+    # ---- rule one
+
+    def _end_overdue(self) -> None:
+        """The last resort: no attempt, timer or exception keeps a request past its time."""
+        before = self.clock.now() - OVERDUE_S
+        late = [call for call in self.calls.values() if call.deadline < before]
+        for call in late:
+            if call.attempt is None or not call.attempt.streaming:
+                self.log.line("overdue", f"request {call.number} had no answer when its time was up")
+                self._abandon(call.number)
+        self.clock.call_later(OVERDUE_S, self._end_overdue)
--- /dev/null
+++ b/quartzford/engine/log.py
@@ -0,0 +1,39 @@
+"""Lines for the operators, bounded in rate."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from collections.abc import Callable
+from typing import Protocol
+
+LOG_LINES_PER_S = 5.0
+
+
+class Log(Protocol):
+    """Where a part says what operators should know."""
+
+    def line(self, topic: str, text: str) -> None: ...
+
+    def trouble(self, where: str) -> None: ...
+
+
+class StderrLog:
+    """Standard error, each line with its topic in front; floods are cut."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.tokens, self.at = LOG_LINES_PER_S, now()
+
+    def line(self, topic: str, text: str) -> None:
+        now = self.now()
+        self.tokens = min(LOG_LINES_PER_S, self.tokens + (now - self.at) * LOG_LINES_PER_S)
+        self.at = now
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            print(f"{topic}: {text[:500]}", file=sys.stderr, flush=True)
+
+    def trouble(self, where: str) -> None:
+        """An exception at a boundary, from within its handler."""
+        lines = traceback.format_exc(limit=-3).strip().splitlines()
+        self.line(where, " | ".join([lines[-1], *(line.strip() for line in lines[1:-1])]))
--- a/quartzford/net/downstream.py
+++ b/quartzford/fronts/http1.py
@@ -7,16 +7,13 @@
 import socket
 import struct
 from collections import deque
-from time import monotonic
-from typing import TYPE_CHECKING, Any, cast
+from collections.abc import Callable
+from typing import Any, Protocol, cast
 
 import httptools
 
 from quartzford import interface as io
-
-if TYPE_CHECKING:
-    from quartzford.net.proxy import Proxy
-    from quartzford.net.upstream import Attempt
+from quartzford.engine import Backend, Budget, Call, Clock, Engine
 
 HEAD_BYTES = 32 * 1024
 BODY_BYTES = 32 * 1024 * 1024
@@ -42,6 +39,7 @@
     b" x-time-left".split()
 )
 READ = {
+    b"host": "host",
     b"x-correlation-id": "id",
     b"x-service-class": "name",
     b"x-account": "tenant",
@@ -55,6 +53,8 @@
     b"expect": "expect",
     b"content-length": "length",
 }
+ONCE = ("host", "id")
+KEPT = frozenset((b"host", b"x-correlation-id", b"idempotency-key"))  # whatever Connection names
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -83,35 +83,119 @@
     return value if 0 <= value < 1e12 else 0.0
 
 
-class Exchange:
+class Whole(Protocol):
+    """A backend's whole answer."""
+
+    @property
+    def fields(self) -> list[bytes]: ...
+
+    @property
+    def chunks(self) -> list[bytes]: ...
+
+
+class Pausable(Protocol):
+    """An attempt whose answer is passed on as it comes."""
+
+    def pause(self, paused: bool) -> None: ...
+
+
+class HttpFront:
+    """The listener, its client connections, and the bound on them."""
+
+    def __init__(
+        self, engine: Engine, backend: Backend, budget: Budget, clock: Clock, ready: Callable[[], bool]
+    ) -> None:
+        self.engine, self.backend, self.budget, self.ready = engine, backend, budget, ready
+        self.now = clock.now
+        self.clients: dict[Client, None] = {}
+        self.most = 16
+        self.draining = False  # no connection is kept after its answer
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: tuple[str, int], loop: asyncio.AbstractEventLoop) -> None:
+        self.server = await loop.create_server(lambda: Client(self), *address, backlog=2048)
+
+    def stop_listening(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+    def close_idle(self) -> None:
+        for client in list(self.clients):
+            client.close_if_idle()
+
+    def sweep(self) -> None:
+        now = self.now()
+        for client in list(self.clients):
+            client.check(now)
+
+
+class Exchange(Call):
     """A client's request, from its last byte to its final answer."""
 
     __slots__ = (
-        "number", "client", "line", "fields", "body", "deadline", "attempt", "sends", "done", "keep",
-        "old", "bodiless", "streams", "charged", "lengthless",
-    )  # fmt: skip
+        "client",
+        "line",
+        "fields",
+        "body",
+        "keep",
+        "old",
+        "bodiless",
+        "streams",
+        "charged",
+        "lengthless",
+    )
 
     def __init__(self, client: Client, line: bytes, fields: bytes, body: bytes | bytearray) -> None:
+        super().__init__(client.front.backend)
         self.client = client
         self.line = line
         self.fields = fields
         self.body = body
-        self.number = -1
-        self.deadline = math.inf
-        self.attempt: Attempt | None = None
-        self.sends = 0
-        self.done = False
         self.keep = self.old = self.bodiless = self.streams = self.lengthless = False
         self.charged = 0
 
+    # ---- what the engine tells
+
+    def served(self, answer: Whole) -> None:
+        self.client.answer(self, 200, 0.0, answer.fields, answer.chunks)
+
+    def refused(self, pause_ms: float, over_share: bool) -> None:
+        self.client.answer(self, 503, pause_ms)
+
+    def failed(self) -> None:
+        self.client.answer(self, 502)
+
+    def broken(self) -> None:
+        self.client.answer(self, 500)
+
+    def streamed(self, whole: bool) -> None:
+        self.client.end(self, whole)
+
+    def left(self) -> None:
+        self.release()
+
+    def retried(self) -> None:
+        self.charge(len(self.body) - self.charged)
+
+    # ---- what an HTTP backend asks
+
     def charge(self, size: int) -> None:
-        self.client.proxy.budget.used += size
+        self.client.front.budget.used += size
         self.charged += size
 
     def release(self) -> None:
-        self.client.proxy.budget.used -= self.charged
+        self.client.front.budget.used -= self.charged
         self.charged = 0
 
+    def begin(self, fields: list[bytes], length: int | None) -> None:
+        self.client.begin(self, fields, length)
+
+    def write(self, data: bytes) -> None:
+        self.client.write(data)
+
+    def stuck(self) -> bool:
+        return self.client.stuck
+
     def upstream_head(self, left: float) -> bytes:
         wait = max(0, int(left * 1_000_000))
         framing = b"" if self.lengthless else b"Content-Length: %d\r\n" % len(self.body)
@@ -122,20 +206,20 @@
     """One client connection; it carries one request at a time, later ones wait their turn."""
 
     __slots__ = (
-        "proxy", "transport", "parser", "exchange", "waiting", "target", "fields", "read", "head_bytes",
+        "front", "transport", "parser", "exchange", "waiting", "target", "fields", "read", "head_bytes",
         "body", "body_bytes", "in_head", "in_message", "error", "since", "moved", "stuck", "backlog", "held",
         "closing", "chunked", "paused_at",
     )  # fmt: skip
     transport: asyncio.Transport
 
-    def __init__(self, proxy: Proxy) -> None:
-        self.proxy = proxy
+    def __init__(self, front: HttpFront) -> None:
+        self.front = front
         self.parser: Any = httptools.HttpRequestParser(self)
         self.exchange: Exchange | None = None
         self.waiting: deque[tuple[Exchange, io.Request | None]] = deque()
         self.in_head = self.in_message = False
         self.error = 0
-        self.since = self.moved = monotonic()
+        self.since = self.moved = front.now()
         self.stuck = False  # the client reads more slowly than its answer comes
         self.backlog = 0
         self.held: Exchange | None = None
@@ -150,15 +234,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_BYTES)
-        clients = self.proxy.clients
+        clients = self.front.clients
         clients[self] = None
-        if len(clients) > self.proxy.most_clients:
+        if len(clients) > self.front.most:
             self._make_room()
 
     def _make_room(self) -> None:
-        victim = next((c for c in self.proxy.clients if c.idle() and c is not self), None)
+        victim = next((c for c in self.front.clients if c.idle() and c is not self), None)
         if victim is None:
-            victim = next((c for c in self.proxy.clients if c.exchange is None and c is not self), None)
+            victim = next((c for c in self.front.clients if c.exchange is None and c is not self), None)
         if victim is not None:
             victim.transport.abort()
 
@@ -168,7 +252,7 @@
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
-        self.moved = monotonic()
+        self.moved = self.front.now()
         if not self.in_message:
             self.since = self.moved
             self.in_head = self.in_message = True
@@ -193,7 +277,7 @@
         self._left()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.proxy.clients.pop(self, None)
+        self.front.clients.pop(self, None)
         self._left()
         self.parser = None
         self.closing = True
@@ -205,21 +289,21 @@
         self._drop_body()
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            self.proxy.gone(exchange)
+            self.front.engine.gone(exchange)
 
     def pause_writing(self) -> None:
         self.stuck = True
-        self.moved = monotonic()
+        self.moved = self.front.now()
         exchange = self.exchange
         if exchange is not None and exchange.attempt is not None and exchange.attempt.streaming:
-            exchange.attempt.pause(True)
+            cast(Pausable, exchange.attempt).pause(True)
 
     def resume_writing(self) -> None:
         self.stuck = False
         self._unhold()
         exchange = self.exchange
         if exchange is not None and exchange.attempt is not None and exchange.attempt.streaming:
-            exchange.attempt.pause(False)
+            cast(Pausable, exchange.attempt).pause(False)
 
     # ---- httptools
 
@@ -238,6 +322,8 @@
         key = name.lower()
         wanted = READ.get(key)
         if wanted is not None:
+            if wanted in ONCE and wanted in self.read:
+                self.error = self.error or 400  # the next reader may take the other one
             self.read[wanted] = value.decode("latin-1")
         if key not in DROPPED:
             self.fields.append((name, value))
@@ -274,13 +360,13 @@
                 self.body = bytearray(self.body)
             self.body += data
         self.body_bytes = size
-        self.proxy.budget.used += len(data)
-        if self.proxy.budget.full():
-            self.paused_at = self.paused_at or monotonic()
+        self.front.budget.used += len(data)
+        if self.front.budget.full():
+            self.paused_at = self.paused_at or self.front.now()
             self.transport.pause_reading()
 
     def _drop_body(self) -> None:
-        self.proxy.budget.used -= self.body_bytes
+        self.front.budget.used -= self.body_bytes
         self.body, self.body_bytes = b"", 0
         self.paused_at = 0.0
 
@@ -301,12 +387,13 @@
 
     def _whole(self) -> tuple[Exchange, io.Request | None]:
         """The request that has just come whole."""
-        read, parser, proxy = self.read, self.parser, self.proxy
+        read, parser, engine = self.read, self.parser, self.front.engine
         method = parser.get_method()
         fields = self.fields
         named = read.get("connection", "")
         if "," in named or named.lower() not in ("", "close", "keep-alive"):
             hop = {part.strip().lower().encode("latin-1") for part in named.split(",")}
+            hop -= KEPT  # without these an upstream would run a repeat that it should drop
             fields = [(name, value) for name, value in fields if name.lower() not in hop]
         line = b"%b %b HTTP/1.1\r\n" % (method, self.target)
         exchange = Exchange(self, line, b"".join([b"%b: %b\r\n" % field for field in fields]), self.body)
@@ -319,13 +406,13 @@
         if self.target.partition(b"?")[0] == HEALTH:
             return exchange, None
         name = read.get("name", "")
-        kind = proxy.classes.get(name)
+        kind = engine.classes.get(name)
         left = read_time_left(read.get("left", "").strip())
         if left is None:
-            left = kind.deadline_ms if kind is not None else proxy.longest_ms
+            left = kind.deadline_ms if kind is not None else engine.longest_ms
         exchange.streams = kind is not None and kind.streaming
-        exchange.deadline = monotonic() + left / 1000.0
-        exchange.number = proxy.next_number()
+        exchange.deadline = self.front.now() + left / 1000.0
+        exchange.number = engine.next_number()
         request = io.Request(
             exchange.number, name, left, read.get("tenant", ""), read_cookie(read.get("cookie", ""), "sid"),
             read_number(read.get("hint", "")) / 1000.0, read.get("repeat", "").strip() == "1",
@@ -335,16 +422,16 @@
 
     def _take(self, exchange: Exchange, request: io.Request | None) -> None:
         self.exchange = exchange
-        self.proxy.clients.pop(self, None)
-        self.proxy.clients[self] = None
+        self.front.clients.pop(self, None)
+        self.front.clients[self] = None
         if request is None:
-            return self.answer(exchange, 200 if self.proxy.ready() else 503)
-        self.proxy.arrived(exchange, request)
+            return self.answer(exchange, 200 if self.front.ready() else 503)
+        self.front.engine.arrived(exchange, request)
 
     # ---- answers
 
     def _head(self, exchange: Exchange, status: int, fields: list[bytes], framing: bytes) -> bytes:
-        exchange.keep = exchange.keep and not self.error and not self.proxy.draining()
+        exchange.keep = exchange.keep and not self.error and not self.front.draining
         if not exchange.keep:
             framing += b"Connection: close\r\n"
         elif exchange.old:
@@ -382,7 +469,7 @@
         exchange = self.exchange
         if exchange is None or not data:
             return
-        self.moved = monotonic()
+        self.moved = self.front.now()
         if exchange.streams:
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
@@ -403,7 +490,7 @@
 
     def _next(self, exchange: Exchange) -> None:
         self.exchange = None
-        self.moved = monotonic()
+        self.moved = self.front.now()
         self._unhold()
         if self.stuck:
             self.held = exchange
@@ -438,7 +525,7 @@
             return
         self._drop_body()
         self.closing = True
-        self.since = monotonic()
+        self.since = self.front.now()
         text = REASONS[status]
         head = b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, text)
         self.transport.write(head)
@@ -466,7 +553,7 @@
             stalled = now - self.since > HEAD_S if self.in_head else now - self.moved > BODY_S
             if stalled or now - self.since > WHOLE_S:
                 self.reject(408)
-            elif self.paused_at and not self.proxy.budget.full():
+            elif self.paused_at and not self.front.budget.full():
                 self.paused_at = 0.0
                 self.transport.resume_reading()
             elif self.paused_at and now - self.paused_at > PAUSED_S:
--- a/quartzford/interface.py
+++ b/quartzford/interface.py
@@ -251,6 +251,7 @@
 
     request: int
     pause_ms: float
+    over_share: bool = False  # turned away on arrival while its tenant asks for more than its share
 
 
 class Fail(NamedTuple):
--- a/quartzford/logic.py
+++ b/quartzford/logic.py
@@ -303,14 +303,14 @@
         window = flight.kind.window_ms - self.settings.tick_ms
         return flight.kind.effect == "keyed" and self.now - flight.bound_ms < window
 
-    def _end(self, flight: Flight) -> None:
+    def _end(self, flight: Flight, over_share: bool = False) -> None:
         """The final answer: a refusal where that is true of the request, else a failure."""
         del self.flights[flight.request.request]
         kind, limits = flight.kind, self.settings.limits
         harmless = kind.effect == "free" or (kind.effect, kind.group) == ("keyed", "all")
         if flight.bound is None or harmless:
             pause = min(limits.max_retry_after_ms, kind.aim_ms / 4) if limits.retry_after else 0.0
-            self.out.append(io.Refuse(flight.request.request, pause))
+            self.out.append(io.Refuse(flight.request.request, pause, over_share))
         else:
             self.out.append(io.Fail(flight.request.request))
 
@@ -382,7 +382,9 @@
             left = min(left, aim - self.settings.tick_ms - MARGIN_MS)
         flight = Flight(request, kind, self.now + left)
         self.flights[request.request] = flight
-        (self._dispatch if self._admits(flight) else self._end)(flight)
+        if self._admits(flight):
+            return self._dispatch(flight)
+        return self._end(flight, self._within(flight.request.tenant) < 1.0)
 
     def _admits(self, flight: Flight) -> bool:
         """Load shedding: the shed share of the offered work is refused, least worth per work first."""
@@ -390,7 +392,7 @@
         tenant = name if name in self.quota else ""  # a name that nobody has told of gets no entry of its own
         rate = self.rates.setdefault(tenant, Rate())
         rate.add(self.now)
-        within = min(1.0, self.quota.get(tenant, 0.0) / max(rate.read(self.now), 1e-9)) if self.quota else 1.0
+        within = self._within(name)
         factor = round(within + (1 - within) * self.settings.over_share_worth, 1)
         work = self.usual.get(kind.name, kind.aim_ms / 4)
         worth = kind.worth * factor / (1.0 if self.settings.worth_by_work else work)
@@ -405,6 +407,12 @@
             self.marginal = min(0.75, max(0.15, worth / mean)) if mean > 0 else 0.5
         return self.rng.random() * same < less + same - self.shed * total
 
+    def _within(self, name: str) -> float:
+        """The part of a tenant's present rate that is within its share; 1 where tenants have none."""
+        tenant = name if name in self.quota else ""
+        rate = self.rates[tenant].read(self.now)
+        return min(1.0, self.quota.get(tenant, 0.0) / max(rate, 1e-9)) if self.quota else 1.0
+
     def _pace(self, late: bool) -> None:
         self.late += 0.05 * (late - self.late)
         span, self.shed_ms = min(1_000.0, self.now - self.shed_ms), self.now
--- /dev/null
+++ b/quartzford/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who the servers are: the list and its watch."""
--- /dev/null
+++ b/quartzford/membership/listing.py
@@ -0,0 +1,61 @@
+"""The list of upstreams as discovery writes it."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any, NamedTuple, Protocol
+
+from quartzford import interface as io
+
+STATES = ("ready", "draining", "gone")
+
+
+class Listing(NamedTuple):
+    """A list or its changes, with the address that goes with each entry."""
+
+    version: int
+    whole: bool
+    entries: tuple[io.Entry, ...]
+    addresses: tuple[tuple[str, int], ...]
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def _entry(row: dict[str, Any]) -> io.Entry:
+    born, share = float(row.get("born_ms") or 0.0), float(row.get("share") or 1.0)
+    host, state = row["host"], row["health"]
+    if not isinstance(host, str) or not host or state not in STATES:
+        raise ValueError(f"host {host!r}, health {state!r}")
+    if not math.isfinite(born) or not 0 < share < math.inf:
+        raise ValueError(f"born_ms {born!r}, share {share!r}")
+    zone, kind, cell = str(row["site"]), str(row["class"]), int(row["block"])
+    return io.Entry(host, zone, kind, cell, state, share, max(0.0, born))
+
+
+def read_listing(text: bytes | dict[str, Any]) -> Listing:
+    """A line of discovery; ValueError if it breaks the form."""
+    try:
+        table = text if isinstance(text, dict) else json.loads(text)
+        version, whole, rows = table["seq"], table["whole"], table["hosts"]
+        if not isinstance(version, int) or not isinstance(whole, bool) or not isinstance(rows, list):
+            raise ValueError("seq, whole or hosts is not what it should be")
+        entries = tuple(_entry(row) for row in rows)
+        addresses = tuple(("", 0) if row["health"] == "gone" else _address(row["dial"]) for row in rows)
+    except (KeyError, TypeError, AttributeError, RecursionError, OverflowError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
+    return Listing(version, whole, entries, addresses)
+
+
+class Sink(Protocol):
+    """Who is told of the list."""
+
+    def listed(self, listing: Listing) -> None: ...
+
+    def list_failed(self) -> None:
+        """A call that the module asked for has failed."""
--- a/quartzford/net/discovery.py
+++ b/quartzford/membership/watch.py
@@ -3,79 +3,37 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import math
 import random
-from typing import TYPE_CHECKING, Any, NamedTuple, cast
+from collections.abc import Callable
+from typing import Any, cast
 
 import httptools
 
-from quartzford import interface as io
-
-if TYPE_CHECKING:
-    from quartzford.net.proxy import Proxy
+from quartzford.engine import Clock, Handle, Log
+from quartzford.membership.listing import Sink, read_listing
 
 SILENCE_S = 2.75
 ANSWER_S = 1.5
 RETRY_S = (0.05, 1.0)  # from one try to the next, doubling, with jitter
 LINE_BYTES = 4 * 1024 * 1024
-STATES = ("ready", "draining", "gone")
-
-
-class Listing(NamedTuple):
-    """A list or its changes, with the address that goes with each entry."""
-
-    version: int
-    whole: bool
-    entries: tuple[io.Entry, ...]
-    addresses: tuple[tuple[str, int], ...]
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
-
-
-def _entry(row: dict[str, Any]) -> io.Entry:
-    born, share = float(row.get("born_ms") or 0.0), float(row.get("share") or 1.0)
-    host, state = row["host"], row["health"]
-    if not isinstance(host, str) or not host or state not in STATES:
-        raise ValueError(f"host {host!r}, health {state!r}")
-    if not math.isfinite(born) or not 0 < share < math.inf:
-        raise ValueError(f"born_ms {born!r}, share {share!r}")
-    zone, kind, cell = str(row["site"]), str(row["class"]), int(row["block"])
-    return io.Entry(host, zone, kind, cell, state, share, max(0.0, born))
-
-
-def read_listing(text: bytes | dict[str, Any]) -> Listing:
-    """A line of discovery; ValueError if it breaks the form."""
-    try:
-        table = text if isinstance(text, dict) else json.loads(text)
-        version, whole, rows = table["seq"], table["whole"], table["hosts"]
-        if not isinstance(version, int) or not isinstance(whole, bool) or not isinstance(rows, list):
-            raise ValueError("seq, whole or hosts is not what it should be")
-        entries = tuple(_entry(row) for row in rows)
-        addresses = tuple(("", 0) if row["health"] == "gone" else _address(row["dial"]) for row in rows)
-    except (KeyError, TypeError, AttributeError, RecursionError, OverflowError) as error:
-        raise ValueError(f"{type(error).__name__}: {error}") from None
-    return Listing(version, whole, entries, addresses)
 
 
-class Discovery:
+class Watch:
     """Keeps one watch open, and knows which version of the list this balancer has."""
 
-    def __init__(self, proxy: Proxy, asked: bool) -> None:
-        self.proxy = proxy
+    def __init__(
+        self, sink: Sink, address: Callable[[], tuple[str, int]], asked: bool, seed: int, clock: Clock,
+        log: Log, loop: asyncio.AbstractEventLoop,
+    ) -> None:  # fmt: skip
+        self.sink, self.address, self.clock, self.log, self.loop = sink, address, clock, log, loop
         self.asked = asked  # the list comes only where the module asks for it
         self.version: int | None = None
         self.tries = 0
         self.heard = False  # discovery has answered since the start
         self.call: Call | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Handle | None = None
         self.stopped = False
-        self.rng = random.Random()
+        self.rng = random.Random(seed)
 
     def start(self) -> None:
         if self.stopped or self.call is not None:
@@ -105,7 +63,7 @@
         try:
             listing = read_listing(text)
         except ValueError as error:
-            self.proxy.log("discovery", f"a bad line: {error}")
+            self.log.line("discovery", f"a bad line: {error}")
             self.version = None
             return False
         if not listing.whole and (self.version is None or listing.version < self.version):
@@ -113,7 +71,7 @@
             return False
         self.version = listing.version
         self.tries, self.heard = 0, True
-        self.proxy.listed(listing)
+        self.sink.listed(listing)
         return True
 
     def ended(self, call: Call, again: bool) -> None:
@@ -123,13 +81,13 @@
         if self.stopped:
             return
         if self.asked and not again:
-            return self.proxy.list_failed()
+            return self.sink.list_failed()
         wait = 0.0
         if not again:
             least, most = RETRY_S
             wait = min(most, least * 2.0**self.tries) * self.rng.uniform(0.5, 1.0)
             self.tries = min(self.tries + 1, 10)
-        self.timer = self.proxy.loop.call_later(wait, self.start)
+        self.timer = self.clock.call_later(wait, self.start)
 
 
 class Call(asyncio.Protocol):
@@ -137,20 +95,20 @@
 
     transport: asyncio.Transport | None
 
-    def __init__(self, discovery: Discovery, version: int | None) -> None:
-        self.discovery = discovery
-        self.loop = discovery.proxy.loop
+    def __init__(self, owner: Watch, version: int | None) -> None:
+        self.owner = owner
+        self.clock, self.loop = owner.clock, owner.loop
         self.watch = version is not None
         self.version = version
         self.transport = None
         self.buffer = bytearray()
         self.over = self.finished = False
         self.parser: Any = httptools.HttpResponseParser(self)
-        self.timer = self.loop.call_later(ANSWER_S, self.close)
+        self.timer = self.clock.call_later(ANSWER_S, self.close)
         self.task = self.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
-        host, port = self.discovery.proxy.config.discovery
+        host, port = self.owner.address()
         try:
             await self.loop.create_connection(lambda: self, host, port)
         except OSError:
@@ -168,13 +126,13 @@
             self.transport.abort()
         elif not self.task.done():
             self.task.cancel()
-        self.discovery.ended(self, again)
+        self.owner.ended(self, again)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         if self.over:
             return self.transport.abort()
-        host, port = self.discovery.proxy.config.discovery
+        host, port = self.owner.address()
         path = "/catalog/members" + (f"?stream=1&index={self.version}" if self.watch else "")
         close = "" if self.watch else "Connection: close\r\n"
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n{close}\r\n".encode())
@@ -183,7 +141,7 @@
         if self.over:
             return
         self.timer.cancel()
-        self.timer = self.loop.call_later(SILENCE_S, self.close)
+        self.timer = self.clock.call_later(SILENCE_S, self.close)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -204,7 +162,7 @@
         """The answer to a GET has ended: the watch follows at once."""
         if self.watch or not self.buffer.strip():
             return self.close()
-        self._end(again=self.discovery.line(bytes(self.buffer)))
+        self._end(again=self.owner.line(bytes(self.buffer)))
 
     # ---- httptools
 
@@ -217,14 +175,14 @@
             return
         self.buffer += data
         if len(self.buffer) > LINE_BYTES:
-            self.discovery.version = None
+            self.owner.version = None
             return self.close()
         if not self.watch:
             return
         while (end := self.buffer.find(b"\n")) >= 0 and not self.over:
             line = bytes(self.buffer[:end]).strip()
             del self.buffer[: end + 1]
-            if line and not self.discovery.line(line):
+            if line and not self.owner.line(line):
                 self._end(again=True)
 
     def on_message_complete(self) -> None:
--- a/quartzford/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real balancer's sockets."""
--- /dev/null
+++ b/quartzford/node.py
@@ -0,0 +1,134 @@
+"""One balancer put together: an engine, the HTTP/1.1 front and backend, and the watch on the list."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from quartzford.backends.http1 import HttpBackend
+from quartzford.config import Config, ConfigError
+from quartzford.engine import Budget, Engine, LoopClock, StderrLog
+from quartzford.fronts.http1 import HttpFront
+from quartzford.membership.listing import Listing, read_listing
+from quartzford.membership.watch import Watch
+
+BASE_BYTES = 56 * 1024 * 1024  # the interpreter, the module and what sockets cost
+BASE_DESCRIPTORS = 48
+CLIENT_SHARE = 0.5  # a request open at a client needs a descriptor upstream too, and may hold a third here
+SWEEP_S = 0.25
+LISTED_S = 1.0
+NEW_CLIENTS_S = 0.6
+SPARE_END_S = 0.55
+SUMMARY_S = 10.0
+
+
+class Node:
+    """One balancer on sockets: start, reload, housekeeping and end of its parts."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.clock = clock = LoopClock(loop)
+        self.log = StderrLog(clock.now)
+        self.budget = Budget(0)
+        self.engine = Engine(config.settings, config.seed, clock, self.log)
+        self.pool = HttpBackend(self.engine, self.budget, clock, loop)
+        self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
+        self._configure(config)
+        asked = config.settings.asks_list
+        self.watch = Watch(self, lambda: self.config.discovery, asked, config.seed ^ 1, clock, self.log, loop)
+        self.engine.watch = self.watch.start
+        self.draining_since = math.inf
+        self.finished = loop.create_future()
+        self.ready_at = clock.now() + LISTED_S
+
+    # ---- start and end
+
+    def _configure(self, config: Config) -> None:
+        self.config = config
+        self.budget.limit = max(8 * 1024 * 1024, config.memory_bytes - BASE_BYTES)
+        spare = max(16, config.descriptors - BASE_DESCRIPTORS)
+        self.front.most = int(CLIENT_SHARE * spare)
+        self.pool.configure(spare - self.front.most, config.idle_ms, config.connect_ms, config.report_names)
+
+    def reconfigure(self, config: Config) -> None:
+        """A new configuration, under load: what is in flight goes on, the list held stays until the next one.
+
+        The address for clients, the seed and the way to discovery (pushed or asked) take a restart.
+        """
+        moved = config.discovery != self.config.discovery
+        self._configure(config)
+        self.engine.reconfigure(config.settings)
+        if moved:
+            self.watch.follow()
+
+    async def start(self) -> None:
+        try:
+            known = read_listing(self.config.known)
+        except ValueError as error:
+            raise ConfigError(f"known: {error}") from None
+        self._adopt(known, "stale")
+        self.watch.version = known.version
+        await self.front.listen(self.config.listen, self.loop)
+        if not self.watch.asked:
+            self.watch.start()
+        self.clock.call_later(SUMMARY_S, self._summary)
+        self.engine.start()
+        self.clock.call_later(SWEEP_S, self._sweep)
+
+    def ready(self) -> bool:
+        """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
+        if self.front.draining:
+            return False
+        told = self.watch.heard or self.watch.asked or self.clock.now() >= self.ready_at
+        return told and any(u.ready for u in self.pool.upstreams.values())
+
+    def terminate(self) -> None:
+        if not self.front.draining:
+            self.front.draining = True
+            self.draining_since = self.clock.now()
+            self.clock.call_later(NEW_CLIENTS_S, self._stop_listening)
+
+    def _stop_listening(self) -> None:
+        self.front.stop_listening()
+        self._end_when_quiet()
+
+    def _end_when_quiet(self) -> None:
+        self.front.close_idle()
+        limit = self.draining_since + self.engine.longest_ms / 1000.0 + SPARE_END_S
+        if not self.front.clients or self.clock.now() >= limit:
+            self.watch.stop()
+            if not self.finished.done():
+                self.finished.set_result(None)
+            return
+        self.clock.call_later(0.02, self._end_when_quiet)
+
+    # ---- what the watch tells
+
+    def listed(self, listing: Listing) -> None:
+        self._adopt(listing, "whole" if listing.whole else "changes")
+
+    def _adopt(self, listing: Listing, how: str) -> None:
+        self.pool.listed(listing)
+        self.engine.listed(how, listing.entries)
+
+    def list_failed(self) -> None:
+        self.engine.listed("failed")
+
+    # ---- housekeeping
+
+    def _summary(self) -> None:
+        """One line in a while on what went on."""
+        counts = self.engine.counts
+        said = [f"{name} {count}" for name, count in sorted(counts.items())]
+        held = f"clients {len(self.front.clients)}, upstream connections {len(self.pool.connections)}"
+        self.log.line("summary", ", ".join([*said, held, f"buffered {self.budget.used}"]))
+        counts.clear()
+        self.clock.call_later(SUMMARY_S, self._summary)
+
+    def _sweep(self) -> None:
+        try:
+            self.pool.sweep()
+            self.front.sweep()
+        except Exception:
+            self.log.trouble("sweep")
+        self.clock.call_later(SWEEP_S, self._sweep)
--- a/quartzford/wirehost.py
+++ b/quartzford/wirehost.py
@@ -62,7 +62,7 @@
     match action:
         case io.Send(request, server, time_out, _):
             return ["ROUTE", instance, request, server, time_out]
-        case io.Refuse(request, pause):
+        case io.Refuse(request, pause, _):
             return ["NOT_NOW", instance, request, pause]
         case io.Fail(request):
             return ["DROP_REQUEST", instance, request]
--- /dev/null
+++ b/tests/test_structure.py
@@ -0,0 +1,62 @@
+"""Imports point one way: fronts and backends to the engine, the engine to the module; no circles."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+PACKAGE = Path(__file__).resolve().parent.parent / "quartzford"
+HEAVY = {"grpc", "envoy", "google"}
+
+
+def imports(path: Path) -> set[str]:
+    """The modules that a file names at its top level or anywhere else, also for type checking only."""
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+        elif isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+    return found
+
+
+def graph() -> dict[str, set[str]]:
+    files = {}
+    for path in PACKAGE.rglob("*.py"):
+        parts = ("quartzford", *path.relative_to(PACKAGE).with_suffix("").parts)
+        files[".".join(parts[:-1] if parts[-1] == "__init__" else parts)] = path
+    return {name: imports(path) & set(files) - {name} for name, path in files.items()}
+
+
+def test_no_module_imports_itself_by_a_detour() -> None:
+    edges = graph()
+    # A package's face stands for its parts: who imports the face is not in a circle with its own package.
+    edges = {name: {to for to in out if not name.startswith(to + ".")} for name, out in edges.items()}
+    done: set[str] = set()
+
+    def visit(name: str, path: tuple[str, ...]) -> None:
+        assert name not in path, " -> ".join((*path, name))
+        if name not in done:
+            for to in sorted(edges[name]):
+                visit(to, (*path, name))
+            done.add(name)
+
+    for name in edges:
+        visit(name, ())
+    assert "quartzford.engine.core" in done
+
+
+def test_the_engine_knows_no_front_no_backend_and_no_socket() -> None:
+    for path in (PACKAGE / "engine").glob("*.py"):
+        named = imports(path)
+        above = {n for n in named if n.startswith("quartzford.") and n.split(".")[1] not in
+                 ("engine", "interface", "logic")}  # fmt: skip
+        assert not above, f"{path.name}: {above}"
+        assert not named & {"socket", "ssl", "httptools", "random"}, path.name
+
+
+def test_fronts_and_backends_do_not_know_each_other() -> None:
+    for side, other in (("fronts", "backends"), ("backends", "fronts")):
+        for path in (PACKAGE / side).rglob("*.py"):
+            assert not any(n.startswith(f"quartzford.{other}") for n in imports(path)), path.name
