--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a command: python -m bench.NAME [--quick] [--json FILE]."""
--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -1,30 +1,20 @@
-"""Run one balancer: read EDGE_CONFIG, serve until SIGTERM, read it again on SIGHUP."""
+"""The command line. With no argument: one balancer as the platform runs it, until SIGTERM."""
 
 from __future__ import annotations
 
 import asyncio
-import errno
 import os
 import signal
 import sys
 
 import uvloop
 
-from quartzford.config import Config, ConfigError, read_config
-from quartzford.node import Node
-
-BIND_S = 5.0  # the address may still be held by the process that went before
+from quartzford.config import Config, ConfigError, load_config
+from quartzford.node import Node, start_listening
 
 
 def load() -> Config:
-    path = os.environ.get("EDGE_CONFIG")
-    if not path:
-        raise ConfigError("EDGE_CONFIG: not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            return read_config(file.read())
-    except (OSError, UnicodeDecodeError) as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
+    return load_config(os.environ.get("EDGE_CONFIG", ""))
 
 
 def reload(node: Node) -> None:
@@ -37,29 +27,47 @@
     node.log.line("reload", f"in force, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
 
-async def serve(config: Config) -> None:
+async def run(config: Config) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config, loop)
     loop.add_signal_handler(signal.SIGHUP, reload, node)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.terminate)
-    give_up = loop.time() + BIND_S
-    while True:
-        try:
-            await node.start()
-            break
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE or loop.time() > give_up:
-                raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {error}") from None
-            await asyncio.sleep(0.05)
+    await start_listening(node)
     await node.finished
 
 
+def command(arguments: list[str]) -> None:
+    """A subcommand. What it needs is imported only now: the platform's run stays lean."""
+    import argparse
+
+    from quartzford.operatorfile import OperatorError, load_operator
+    from quartzford.serve import serve
+
+    parser = argparse.ArgumentParser(prog="quartzford", description="A balancer that has to hold.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    serving = commands.add_parser("serve", help="run a balancer with what an operator's file switches on")
+    serving.add_argument("--operator", required=True, metavar="FILE")
+    checking = commands.add_parser("check", help="say whether an operator's file can be used, and why not")
+    checking.add_argument("file", metavar="FILE")
+    options = parser.parse_args(arguments)
+    try:
+        if options.command == "check":
+            load_operator(options.file)
+            print(f"{options.file}: can be used")
+        else:
+            uvloop.run(serve(options.operator))
+    except OperatorError as error:
+        raise ConfigError(str(error)) from None
+
+
 def main() -> int:
-    """Exit 0 after SIGTERM, 2 with one plain line when the configuration can't be used."""
+    """Exit 0 after SIGTERM, 2 with one plain line when a configuration can't be used."""
     try:
-        config = load()
-        uvloop.run(serve(config))
+        if len(sys.argv) > 1:
+            command(sys.argv[1:])
+        else:
+            uvloop.run(run(load()))
     except ConfigError as error:
         print(f"quartzford: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/quartzford/backends/caller.py
@@ -0,0 +1,140 @@
+"""The caller itself as the backend: it makes the attempt where the module says, and reports on it.
+
+Nothing here does I/O. The life of an attempt is the table in docs/extproc.md: decided (the module chose),
+told (the caller knows where to), lost (the caller's stream ended with nothing reported), over.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any, NamedTuple, Protocol
+
+from quartzford import engine
+from quartzford import interface as io
+from quartzford.engine import Clock, Engine, Handle
+from quartzford.membership.listing import Listing
+
+
+class State(Enum):
+    """Where a remote attempt stands."""
+
+    DECIDED = "decided"  # nobody was told: it surely has not run
+    TOLD = "told"  # it may run at any moment from here on
+    LOST = "lost"  # it may have run, and nobody will say
+    OVER = "over"
+
+
+class Host(NamedTuple):
+    """A server that may be named to callers."""
+
+    address: str
+    started_ms: float
+
+
+class RemoteCall(Protocol):
+    """What this backend needs of a call."""
+
+    deadline: float
+
+    def decided(self, attempt: RemoteAttempt) -> None:
+        """The module has chosen; whoever waits for it may claim it now."""
+
+
+class CallerBackend:
+    """The servers that callers may be sent to. valid_s: for how long a decision may wait to be claimed."""
+
+    def __init__(self, core: Engine, clock: Clock, valid_s: float) -> None:
+        self.engine, self.clock, self.valid_s = core, clock, valid_s
+        self.hosts: dict[str, Host] = {}
+
+    def listed(self, listing: Listing) -> None:
+        if listing.whole:
+            self.hosts.clear()
+        for entry, (host, port) in zip(listing.entries, listing.addresses, strict=True):
+            if entry.state == "ready":
+                self.hosts[entry.server] = Host(f"{host}:{port}", entry.started_ms)
+            else:
+                self.hosts.pop(entry.server, None)
+
+    def attempt(
+        self, call: Any, number: int, server: str, sent: float, due: float, finish: float
+    ) -> RemoteAttempt:
+        return RemoteAttempt(self, call, number, server, sent, due)
+
+
+class RemoteAttempt(engine.Attempt):
+    """One attempt that the caller makes."""
+
+    __slots__ = ("backend", "host", "state", "timer")
+    call: RemoteCall
+
+    def __init__(
+        self, backend: CallerBackend, call: RemoteCall, number: int, server: str, sent: float, due: float
+    ) -> None:
+        super().__init__(call, number, server, sent, due)
+        self.backend = backend
+        self.host = backend.hosts.get(server)
+        self.state = State.DECIDED
+        self.timer: Handle | None = None
+
+    def start(self) -> None:
+        self.timer = self.backend.clock.call_later(self.due - self.sent, self.fail, "moot")
+        self.call.decided(self)
+
+    def claim(self) -> bool:
+        """A stream of the caller takes the decision; if it stands no more, the module is asked again.
+
+        Once this is true the attempt may run at any time: from here only an outcome proves that it did not.
+        """
+        if self.state is not State.DECIDED:
+            return False
+        now = self.backend.clock.now()
+        same = self.host is not None and self.backend.hosts.get(self.server) == self.host
+        if not same or now - self.sent > self.backend.valid_s or not self.backend.engine.stands(self):
+            self.fail("moot")
+            return False
+        self.state = State.TOLD
+        self._stop()
+        # The caller holds the attempt's own time-out. Here only the client's time ends it, for good: it may
+        # still be out at the caller, and a second one beside it would break rule two.
+        left = self.call.deadline - now
+        self.timer = self.backend.clock.call_later(max(0.0, left), self._overdue)
+        return True
+
+    def reported(self, code: str, report: io.Report = (), faulted: bool = False) -> None:
+        """The caller says how it ended."""
+        if self.state is State.TOLD:
+            self._end()
+            self.backend.engine.ended(self, code, None, report, faulted)
+
+    def lose(self) -> None:
+        """The caller's stream ended with nothing reported; whether the request lives on is not known yet."""
+        if self.state is State.TOLD:
+            self.state = State.LOST
+
+    def lost(self) -> bool:
+        return self.state is State.LOST
+
+    def fail(self, code: str) -> None:
+        """End it with this outcome; one that a caller was told of is never said not to have run."""
+        if self.state is State.OVER:
+            return
+        if self.state is not State.DECIDED and code == "moot":
+            code = "cancelled"
+        self._end()
+        self.backend.engine.ended(self, code)
+
+    def _overdue(self) -> None:
+        if self.state is not State.OVER:
+            self._end()
+            self.backend.engine.ended(self, "timeout", owed=False)
+
+    def _end(self) -> None:
+        self.state = State.OVER
+        self.over = True
+        self._stop()
+
+    def _stop(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- a/quartzford/config.py
+++ b/quartzford/config.py
@@ -174,6 +174,17 @@
         raise ConfigError(f"{type(error).__name__}: {error}") from None
 
 
+def load_config(path: str) -> Config:
+    """The configuration in a file; '' stands for a path that nobody set."""
+    if not path:
+        raise ConfigError("EDGE_CONFIG: not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return read_config(file.read())
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
+
+
 def _config(table: Any) -> Config:
     settings = _settings(table)
     raw = table["settings"]
--- /dev/null
+++ b/quartzford/fronts/extproc/desk.py
@@ -0,0 +1,376 @@
+"""The desk: streams of calling proxies on one side, the engine on the other. No I/O, no gRPC.
+
+A stream asks (for a new request, or with a token for the next attempt of one), is replied to, reports what
+came back, is replied to, and ends. A request is one flight however many streams it takes and whichever worker
+they reach. The table of states is in docs/extproc.md.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple, Protocol, cast
+
+from quartzford import interface as io
+from quartzford.engine import Backend, Call, Clock, Engine, Handle
+from quartzford.fronts.extproc.outcome import Result
+from quartzford.fronts.extproc.token import Fault, Tokens
+
+PROOF = ("full", "connect_failed")  # reports that prove that the attempt never ran
+ENDED_AT_MOST = 65_536
+ENDED_S = 1.0  # an ended flight is remembered for so much longer than its client's time
+
+
+class Ask(NamedTuple):
+    """What a stream asks with. left_ms below 0: the class's own deadline."""
+
+    identity: str
+    service_class: str
+    left_ms: float = -1.0
+    tenant: str = ""
+    key: str = ""
+    work_ms: float = 0.0
+    repeat: bool = False
+    keyed: bool = False
+    token: str = ""
+    opens: bool = False  # takes the request and its token; each attempt has a stream of its own
+
+
+class Told(NamedTuple):
+    """Send it there, now; give the attempt up after time_out_ms, and tell the server left_ms."""
+
+    address: str
+    token: str
+    time_out_ms: float
+
+
+class Opened(NamedTuple):
+    """The request is taken; its attempts ask with the token."""
+
+    token: str
+
+
+class Refused(NamedTuple):
+    """503, or 429 where the tenant is over its share. It did not run: asking again is harmless."""
+
+    pause_ms: float
+    over_share: bool
+
+
+class Failed(NamedTuple):
+    """A status that promises nothing."""
+
+    status: int
+
+
+class Passed(NamedTuple):
+    """The answer goes on to the client."""
+
+
+class Again(NamedTuple):
+    """The module would send it again: the caller is to ask for a further attempt."""
+
+
+class Cut(NamedTuple):
+    """The request's time is over while its attempt is out: end the stream with an error."""
+
+
+Reply = Told | Opened | Refused | Failed | Passed | Again | Cut
+
+
+class Remote(Protocol):
+    """An attempt that the caller makes (backends/caller.py)."""
+
+    number: int
+    due: float
+
+    @property
+    def host(self) -> Address | None: ...
+
+    def claim(self) -> bool: ...
+
+    def reported(self, code: str, report: io.Report = (), faulted: bool = False) -> None: ...
+
+    def lose(self) -> None: ...
+
+    def lost(self) -> bool: ...
+
+    def fail(self, code: str) -> None: ...
+
+
+class Address(Protocol):
+    @property
+    def address(self) -> str: ...
+
+
+class Stream:
+    """One stream of a caller. reply is called once for each ask and report, and for a Cut."""
+
+    __slots__ = ("reply", "flight", "attempt", "over")
+
+    def __init__(self, reply: Callable[[Reply], None]) -> None:
+        self.reply = reply
+        self.flight: Flight | None = None
+        self.attempt: Remote | None = None  # the attempt that this stream was told of
+        self.over = False
+
+    def say(self, reply: Reply) -> None:
+        if not self.over:
+            self.reply(reply)
+
+
+class Flight(Call):
+    """A request, over all its streams. At most one stream is in each of the roles below."""
+
+    __slots__ = (
+        "desk", "identity", "token", "owed", "waiting", "holder", "following", "timer", "overlap",
+        "may_have_run", "ran_before",
+    )  # fmt: skip
+
+    def __init__(self, desk: Desk, identity: str) -> None:
+        super().__init__(desk.backend)
+        self.desk = desk
+        self.identity = identity
+        self.token = ""
+        self.owed: Stream | None = None  # has opened or reported, and is owed what becomes of the request
+        self.waiting: Stream | None = None  # asks for the next attempt
+        self.holder: Stream | None = None  # was told of the attempt that is out
+        self.following: Stream | None = None  # asks while that attempt is out
+        self.timer: Handle | None = None  # until the caller's next stream has to come
+        self.overlap: Handle | None = None
+        self.may_have_run = self.ran_before = False
+
+    # ---- what the engine and the backend tell
+
+    def decided(self, attempt: Remote) -> None:
+        if self.waiting is not None:
+            self._tell(attempt)
+
+    def served(self, answer: object) -> None:
+        self._end(Passed())
+
+    def refused(self, pause_ms: float, over_share: bool) -> None:
+        self._end(Refused(pause_ms, over_share))
+
+    def failed(self) -> None:
+        self._end(Failed(502))
+
+    def broken(self) -> None:
+        self._end(Failed(500))
+
+    def left(self) -> None:
+        self._end(Failed(502))
+
+    def _end(self, reply: Reply) -> None:
+        self._stop_timers()
+        hearers = (self.owed, self.waiting)
+        holder, following = self.holder, self.following
+        self.owed = self.waiting = self.holder = self.following = None
+        self.desk.ended(self, reply)
+        for stream in hearers:
+            if stream is not None:
+                stream.say(reply)
+        if holder is not None:
+            holder.say(Cut())
+        if following is not None:
+            following.say(after(reply))
+
+    # ---- what streams tell
+
+    def resume(self, stream: Stream) -> None:
+        """A stream asks for the next attempt, and none is out."""
+        self._stop_timers()
+        self.waiting, stream.flight = stream, self
+        attempt = cast("Remote | None", self.attempt)
+        if attempt is None:
+            return  # the module holds the request: its word reaches this stream when it comes
+        if self.may_have_run and attempt.lost():
+            attempt.fail("cancelled")  # the caller goes on without it: now the module may, by its rules
+        else:
+            self._tell(attempt)
+
+    def follow(self, stream: Stream) -> None:
+        """A stream asks while an attempt is out: that one's end may still be on its way, so wait a little."""
+        self.following, stream.flight = stream, self
+        self.overlap = self.desk.clock.call_later(self.desk.overlap_s, self._overlapped)
+
+    def report(self, stream: Stream, result: Result) -> None:
+        attempt, stream.attempt = stream.attempt, None
+        self.holder, self.owed = None, stream
+        if result.code in PROOF:
+            self.may_have_run = self.ran_before
+        assert attempt is not None
+        attempt.reported(result.code, result.report, result.faulted)
+        if not self.done:
+            self.owed = None
+            stream.say(Again())
+            self._expect()
+
+    def drop(self, stream: Stream) -> None:
+        if stream is self.waiting:  # its caller has given up with nothing out
+            self.waiting = None
+            self.desk.engine.gone(self)
+        elif stream is self.following:
+            self.following = None
+            self._stop_overlap()
+        elif stream is self.holder:
+            self.holder = None
+            if stream.attempt is not None:
+                stream.attempt.lose()
+            self._expect()
+
+    def opened(self, stream: Stream) -> None:
+        self.owed = None
+        stream.say(Opened(self.token))
+        self._expect()
+
+    def _expect(self) -> None:
+        """The caller's next stream has to come in time, or the client is held to have left."""
+        following, self.following = self.following, None
+        self._stop_timers()
+        if following is not None:
+            return self.resume(following)
+        self.timer = self.desk.clock.call_later(self.desk.return_s, self.desk.engine.gone, self)
+
+    def _tell(self, attempt: Remote) -> None:
+        stream = self.waiting
+        assert stream is not None
+        if not attempt.claim():
+            return  # the module has been asked again: its next word reaches this stream
+        assert attempt.host is not None
+        self.ran_before, self.may_have_run = self.may_have_run, True
+        self.waiting, self.holder, stream.attempt = None, stream, attempt
+        time_out = max(1.0, (attempt.due - self.desk.clock.now()) * 1000.0)
+        stream.say(Told(attempt.host.address, self.token, time_out))
+
+    def _overlapped(self) -> None:
+        stream, self.following, self.overlap = self.following, None, None
+        if stream is not None:
+            self.desk.engine.counts["overlapping"] += 1
+            stream.flight = None
+            stream.say(Failed(409))
+
+    def _stop_timers(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self._stop_overlap()
+
+    def _stop_overlap(self) -> None:
+        if self.overlap is not None:
+            self.overlap.cancel()
+            self.overlap = None
+
+
+def after(reply: Reply) -> Reply:
+    """What a stream hears that asks for more of a request that ended so."""
+    return reply if isinstance(reply, Refused | Failed) else Failed(502)
+
+
+class Ended(NamedTuple):
+    """What is remembered of a flight that has ended, until the client's time is over."""
+
+    number: int
+    until: float
+    reply: Reply
+    harmless: bool  # it surely did not run
+
+
+class Desk:
+    """All flights of one decider.
+
+    return_s: for how long a flight waits for the caller's next stream; overlap_s: for how long a stream waits
+    that asks while an attempt of its request is out; most: flights at once.
+    """
+
+    def __init__(
+        self, engine: Engine, backend: Backend, clock: Clock, tokens: Tokens, return_s: float,
+        overlap_s: float, most: int,
+    ) -> None:  # fmt: skip
+        self.engine, self.backend, self.clock, self.tokens = engine, backend, clock, tokens
+        self.return_s, self.overlap_s, self.most = return_s, overlap_s, most
+        self.flights: dict[int, Flight] = {}
+        self.by_identity: dict[str, Flight] = {}
+        self.past: OrderedDict[str, Ended] = OrderedDict()  # by correlation id, oldest end first
+
+    def ask(self, stream: Stream, ask: Ask) -> None:
+        """A request's headers have come; exactly one reply follows, unless the stream ends before."""
+        if ask.token:
+            return self._next_attempt(stream, ask)
+        past = self.past.get(ask.identity)
+        if ask.identity in self.by_identity or (past is not None and not past.harmless):
+            # The caller's own copy of a request that is out or may have run: neither beside it nor again.
+            self.engine.counts["same id"] += 1
+            return stream.say(Failed(409))
+        if len(self.flights) >= self.most:
+            self.engine.counts["no room"] += 1
+            return stream.say(Refused(0.0, False))
+        self._take(stream, ask)
+
+    def report(self, stream: Stream, result: Result) -> None:
+        """An answer's headers have come; exactly one reply follows, at once."""
+        if stream.flight is None or stream.attempt is None:
+            stream.say(Passed())  # of an attempt that no stream was told of: nothing to learn from it
+        else:
+            stream.flight.report(stream, result)
+
+    def drop(self, stream: Stream) -> None:
+        """The stream has ended, in whatever way; nothing more is said to it."""
+        stream.over = True
+        flight, stream.flight = stream.flight, None
+        if flight is not None and not flight.done:
+            flight.drop(stream)
+
+    def ended(self, flight: Flight, reply: Reply) -> None:
+        """A flight has ended: its client's copies are known for what they are until their time is over."""
+        now = self.clock.now()
+        self.flights.pop(flight.number, None)
+        self.by_identity.pop(flight.identity, None)
+        until = flight.deadline + ENDED_S
+        self.past[flight.identity] = Ended(flight.number, until, reply, not flight.may_have_run)
+        self.past.move_to_end(flight.identity)
+        while self.past:
+            oldest = next(iter(self.past.values()))
+            if oldest.until > now and len(self.past) <= ENDED_AT_MOST:
+                break
+            self.past.popitem(last=False)
+
+    def _take(self, stream: Stream, ask: Ask) -> None:
+        kind = self.engine.classes.get(ask.service_class)
+        left = ask.left_ms
+        if left < 0:
+            left = kind.deadline_ms if kind is not None else self.engine.longest_ms
+        flight = Flight(self, ask.identity)
+        flight.number = number = self.engine.next_number()
+        flight.deadline = self.clock.now() + left / 1000.0
+        flight.token = self.tokens.make(number, ask.identity, self.clock.unix_ms() + left)
+        self.flights[number] = self.by_identity[ask.identity] = flight
+        if ask.opens:
+            flight.owed = stream
+        else:
+            flight.waiting, stream.flight = stream, flight
+        name, tenant = ask.service_class, ask.tenant
+        self.engine.arrived(
+            flight, io.Request(number, name, left, tenant, ask.key, ask.work_ms, ask.repeat, ask.keyed)
+        )
+        if ask.opens and not flight.done:
+            flight.opened(stream)
+
+    def _next_attempt(self, stream: Stream, ask: Ask) -> None:
+        number = self.tokens.read(ask.token, ask.identity, self.clock.unix_ms())
+        if isinstance(number, Fault):
+            # Never taken for a new request: what the token stood for may have run.
+            self.engine.counts[f"token {number.value}"] += 1
+            return stream.say(Failed(400 if number is Fault.FORGED else 502))
+        flight = self.flights.get(number)
+        if flight is None:
+            past = self.past.get(ask.identity)
+            known = past is not None and past.number == number
+            return stream.say(after(past.reply) if past is not None and known else Failed(502))
+        if flight.waiting is not None or flight.following is not None:
+            self.engine.counts["overlapping"] += 1
+            return stream.say(Failed(409))
+        if flight.holder is not None:
+            flight.follow(stream)
+        else:
+            flight.resume(stream)
--- /dev/null
+++ b/quartzford/fronts/extproc/line.py
@@ -0,0 +1,157 @@
+"""The line between a gRPC worker and the process that decides: JSON arrays, one a line, over a Unix socket.
+
+Up: ["ask", stream, ...Ask], ["report", stream, ...Result], ["drop", stream], ["bound", port].
+Down: [reply, stream, ...fields], ["names", {...}, longest_s], ["stop"]. A line that ends drops all its
+streams: the worker has died, and what its callers had been told of may run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any, cast
+
+from quartzford.engine import Log
+from quartzford.fronts.extproc.desk import (
+    Again,
+    Ask,
+    Cut,
+    Desk,
+    Failed,
+    Opened,
+    Passed,
+    Refused,
+    Reply,
+    Stream,
+    Told,
+)  # fmt: skip
+from quartzford.fronts.extproc.outcome import Result
+
+REPLIES: dict[str, type[Any]] = {
+    kind.__name__: kind for kind in (Told, Opened, Refused, Failed, Passed, Again, Cut)
+}
+
+
+class Lines(asyncio.Protocol):
+    """Lines in, lines out; what is written in one turn of the loop goes out as one piece."""
+
+    transport: asyncio.Transport
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.rest = b""
+        self.out: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        *whole, self.rest = (self.rest + data).split(b"\n")
+        for line in whole:
+            self.line(json.loads(line))
+
+    def send(self, *values: Any) -> None:
+        if not self.out:
+            self.loop.call_soon(self._flush)
+        self.out.append(json.dumps(values, separators=(",", ":")).encode())
+
+    def _flush(self) -> None:
+        data, self.out = b"\n".join([*self.out, b""]), []
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    def line(self, message: list[Any]) -> None:
+        raise NotImplementedError
+
+
+class DeskLine(Lines):
+    """The deciding process's end."""
+
+    def __init__(
+        self, desk: Desk, log: Log, lines: set[DeskLine], greeting: Callable[[], tuple[dict[str, Any], float]]
+    ) -> None:
+        super().__init__()
+        self.desk, self.log, self.lines, self.greeting = desk, log, lines, greeting
+        self.streams: dict[int, Stream] = {}
+        self.port = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.lines.add(self)
+        self.configure()
+
+    def configure(self) -> None:
+        self.send("names", *self.greeting())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lines.discard(self)
+        streams, self.streams = self.streams, {}
+        for stream in streams.values():
+            self.desk.drop(stream)
+
+    def line(self, message: list[Any]) -> None:
+        try:
+            self._line(message)
+        except Exception:
+            self.log.trouble("line")
+
+    def _line(self, message: list[Any]) -> None:
+        what, number = message[0], message[1]
+        if what == "ask":
+            stream = self.streams.get(number) or self._stream(number)
+            self.desk.ask(stream, Ask(*message[2:]))
+        elif what == "report":
+            code, report, faulted = message[2:]
+            self.desk.report(self.streams[number], Result(code, tuple(report), faulted))
+        elif what == "drop":
+            gone = self.streams.pop(number, None)
+            if gone is not None:
+                self.desk.drop(gone)
+        elif what == "bound":
+            self.port = number
+
+    def _stream(self, number: int) -> Stream:
+        def reply(said: Reply) -> None:
+            self.send(type(said).__name__, number, *said)
+
+        stream = self.streams[number] = Stream(reply)
+        return stream
+
+
+class WorkerLine(Lines):
+    """A worker's end; a Link for its streams."""
+
+    def __init__(self, told: Callable[[list[Any]], None], ended: Callable[[], None]) -> None:
+        super().__init__()
+        self.told, self.ended = told, ended
+        self.numbers: dict[Stream, int] = {}
+        self.streams: dict[int, Stream] = {}
+        self.last = 0
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.ended()
+
+    def line(self, message: list[Any]) -> None:
+        kind = REPLIES.get(message[0])
+        if kind is None:
+            return self.told(message)
+        stream = self.streams.get(message[1])
+        if stream is not None:
+            stream.say(kind(*message[2:]))
+
+    def open(self, stream: Stream) -> None:
+        self.last += 1
+        self.numbers[stream], self.streams[self.last] = self.last, stream
+
+    def ask(self, stream: Stream, ask: Ask) -> None:
+        self.send("ask", self.numbers[stream], *ask)
+
+    def report(self, stream: Stream, result: Result) -> None:
+        self.send("report", self.numbers[stream], *result)
+
+    def drop(self, stream: Stream) -> None:
+        stream.over = True
+        number = self.numbers.pop(stream)
+        del self.streams[number]
+        self.send("drop", number)
--- /dev/null
+++ b/quartzford/fronts/extproc/messages.py
@@ -0,0 +1,231 @@
+"""Envoy's ext_proc messages, to and from the desk's words. Message classes come from the package xds-protos.
+
+Source: envoy/service/ext_proc/v3/external_processor.proto and its documentation. Only the two headers phases
+matter here; every other message is answered with the protocol's neutral reply.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from envoy.config.core.v3 import base_pb2 as core
+from envoy.extensions.filters.http.ext_proc.v3 import processing_mode_pb2 as mode
+from envoy.service.ext_proc.v3 import external_processor_pb2 as proto
+
+from quartzford.fronts.extproc.desk import Again, Ask, Failed, Opened, Passed, Refused, Reply, Told
+from quartzford.fronts.extproc.outcome import Result, read_result
+
+ATTRIBUTES = "envoy.filters.http.ext_proc"
+DETAILS = "response.code_details"
+LOAD, UNPROCESSED = "x-backend-load", "x-unprocessed"
+# Envoy's router takes the attempt's time-out from here (its page "Router", HTTP headers), in whole ms.
+TIME_OUT = "x-envoy-upstream-rq-timeout-ms"
+OVERWRITE = core.HeaderValueOption.OVERWRITE_IF_EXISTS_OR_ADD
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the operator's file calls the headers, and the bounds on them."""
+
+    identity: str = "x-correlation-id"
+    service_class: str = "x-service-class"
+    tenant: str = "x-account"
+    left: str = "x-time-left"
+    idempotency: str = "idempotency-key"
+    repeat: str = "x-repeat"
+    hint: str = "x-weight-hint"
+    cookie: str = "sid"  # the cookie that says what a request is about
+    destination: str = "x-quartzford-destination"
+    token: str = "x-quartzford-token"
+    retry: str = "x-quartzford-retry"
+    default_class: str = ""  # of a request that names none
+    most_headers: int = 256
+    most_bytes: int = 64 * 1024
+    report_names: tuple[str, ...] = field(default=())
+
+
+class Reader:
+    """Reads headers by the names in force."""
+
+    def __init__(self, names: Names) -> None:
+        self.names = names
+        n = names
+        self.wanted = {
+            n.identity: "identity", n.service_class: "service_class", n.tenant: "tenant", n.left: "left",
+            n.idempotency: "idempotency", n.repeat: "repeat", n.hint: "hint", n.token: "token",
+            "cookie": "cookie",
+        }  # fmt: skip
+
+    def ask(self, headers: Any, opens: bool) -> Ask | int:
+        """What a request's headers ask, or the status that turns them away."""
+        rows = headers.headers.headers
+        if len(rows) > self.names.most_headers or headers.ByteSize() > self.names.most_bytes:
+            return 431
+        read: dict[str, str] = {}
+        for row in rows:
+            name = self.wanted.get(row.key)
+            if name is None:
+                continue
+            if name in ("identity", "token") and name in read:
+                return 400  # the next reader may take the other one
+            read[name] = text_of(row)
+        identity = read.get("identity", "").strip()
+        if not identity:
+            return 400
+        return Ask(
+            identity,
+            read.get("service_class", "") or self.names.default_class,
+            read_time_left(read.get("left", "").strip()),
+            read.get("tenant", ""),
+            read_cookie(read.get("cookie", ""), self.names.cookie),
+            read_number(read.get("hint", "")) / 1000.0,
+            read.get("repeat", "").strip() == "1",
+            bool(read.get("idempotency", "").strip()),
+            read.get("token", ""),
+            opens,
+        )
+
+    def result(self, request: Any) -> Result:
+        """What a ProcessingRequest with response headers reports."""
+        status, unprocessed, load = 0, False, b""
+        for row in request.response_headers.headers.headers:
+            if row.key == ":status":
+                text = text_of(row)
+                status = int(text) if text.isdecimal() else 0
+            elif row.key == UNPROCESSED:
+                unprocessed = text_of(row).strip() == "1"
+            elif row.key == LOAD:
+                load = row.raw_value or row.value.encode()
+        details = ""
+        if ATTRIBUTES in request.attributes:
+            fields = request.attributes[ATTRIBUTES].fields
+            details = fields[DETAILS].string_value if DETAILS in fields else ""
+        return read_result(status, unprocessed, details, load, self.names.report_names)
+
+
+class Writer:
+    """Writes replies, serialized; those that never change are made once."""
+
+    def __init__(self, names: Names) -> None:
+        self.names = names
+        skip, send, none = mode.ProcessingMode.SKIP, mode.ProcessingMode.SEND, mode.ProcessingMode.NONE
+
+        def headers_only(response: Any) -> Any:
+            return mode.ProcessingMode(
+                request_header_mode=send, response_header_mode=response, request_body_mode=none,
+                response_body_mode=none, request_trailer_mode=skip, response_trailer_mode=skip,
+            )  # fmt: skip
+
+        self.attempt_mode, self.opener_mode = headers_only(send), headers_only(skip)
+        gone = [LOAD, names.token, names.retry, names.destination]
+        self.passed = self._response_headers(proto.HeaderMutation(remove_headers=gone))
+        again = proto.HeaderMutation(
+            set_headers=[header(names.retry, b"1")], remove_headers=[LOAD, names.token]
+        )
+        self.again = self._response_headers(again)
+        # A request that no attempt may be made for keeps no destination that a client wrote.
+        self.neutral = {
+            "request_headers": serialized(
+                proto.ProcessingResponse(request_headers=proto.HeadersResponse(response=proto.CommonResponse(
+                    header_mutation=proto.HeaderMutation(remove_headers=[names.destination]))))
+            ),
+            "response_headers": self.passed,
+            "request_body": serialized(proto.ProcessingResponse(request_body=proto.BodyResponse())),
+            "response_body": serialized(proto.ProcessingResponse(response_body=proto.BodyResponse())),
+            "request_trailers": serialized(
+                proto.ProcessingResponse(request_trailers=proto.TrailersResponse())
+            ),
+            "response_trailers": serialized(
+                proto.ProcessingResponse(response_trailers=proto.TrailersResponse())
+            ),
+        }  # fmt: skip
+
+    @staticmethod
+    def _response_headers(mutation: Any) -> bytes:
+        common = proto.CommonResponse(header_mutation=mutation)
+        return serialized(proto.ProcessingResponse(response_headers=proto.HeadersResponse(response=common)))
+
+    def write(self, reply: Reply) -> bytes:
+        match reply:
+            case Told(address, token, time_out):
+                rows = [
+                    header(self.names.destination, address.encode()),
+                    header(self.names.token, token.encode()),
+                    header(TIME_OUT, b"%d" % time_out),
+                    header(self.names.left, b"%dm" % time_out),
+                ]
+                return self._told(rows, self.attempt_mode)
+            case Opened(token):
+                return self._told([header(self.names.token, token.encode())], self.opener_mode)
+            case Refused(pause, over_share):
+                return immediate(429 if over_share else 503, pause, self.names.retry)
+            case Failed(status):
+                return immediate(status, 0.0, self.names.retry)
+            case Passed():
+                return self.passed
+            case Again():
+                return self.again
+            case _:
+                raise ValueError(f"{reply!r} is no message")
+
+    def _told(self, rows: list[Any], mode_override: Any) -> bytes:
+        removed = [] if len(rows) > 1 else [self.names.destination]
+        mutation = proto.HeaderMutation(set_headers=rows, remove_headers=removed)
+        common = proto.CommonResponse(header_mutation=mutation, clear_route_cache=False)
+        return serialized(
+            proto.ProcessingResponse(
+                request_headers=proto.HeadersResponse(response=common), mode_override=mode_override
+            )
+        )
+
+
+def serialized(message: Any) -> bytes:
+    data: bytes = message.SerializeToString()
+    return data
+
+
+def header(name: str, value: bytes) -> Any:
+    """Sets a header whatever the client sent: the protocol's default would append."""
+    return core.HeaderValueOption(header=core.HeaderValue(key=name, raw_value=value), append_action=OVERWRITE)
+
+
+def immediate(status: int, pause_ms: float, retry: str) -> bytes:
+    """An answer to the client at once, from here."""
+    rows = [header("retry-after", b"%.3f" % (pause_ms / 1000.0))] if pause_ms > 0 else []
+    message = proto.ImmediateResponse(
+        headers=proto.HeaderMutation(set_headers=rows, remove_headers=[retry]), details="quartzford"
+    )
+    message.status.code = status
+    return serialized(proto.ProcessingResponse(immediate_response=message))
+
+
+def text_of(row: Any) -> str:
+    """Envoy fills raw_value or value, by a runtime flag; bytes that are no UTF-8 are kept apart."""
+    raw: bytes = row.raw_value
+    return raw.decode("utf-8", "surrogateescape") if raw else str(row.value)
+
+
+def read_time_left(text: str) -> float:
+    """Milliseconds; -1 where there is none or it can't be read."""
+    try:
+        value = float(text[:-1]) * {"m": 1.0, "u": 0.001}[text[-1:]]
+    except (ValueError, KeyError):
+        return -1.0
+    return value if 0 <= value < 1e9 else -1.0
+
+
+def read_cookie(text: str, name: str) -> str:
+    for part in text.split(";"):
+        key, _, value = part.strip().partition("=")
+        if key == name:
+            return value
+    return ""
+
+
+def read_number(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if 0 <= value < 1e12 else 0.0
--- /dev/null
+++ b/quartzford/fronts/extproc/outcome.py
@@ -0,0 +1,59 @@
+"""What a caller's report on an attempt means to the module, in the platform's terms (docs/extproc.md)."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import NamedTuple
+
+# What Envoy puts into response.code_details where it answered itself (its page "Response code details").
+# Only what surely wrote no byte of the request to an upstream proves that it did not run.
+NEVER_SENT = (
+    "cluster_not_found",
+    "direct_response",
+    "maintenance_mode",
+    "no_healthy_upstream",
+    "route_not_found",
+    "upstream_reset_before_response_started{connection_failure",
+    "upstream_reset_before_response_started{connection_timeout",
+    "upstream_reset_before_response_started{local_connection_failure",
+    "upstream_reset_before_response_started{overflow",
+    "upstream_reset_before_response_started{remote_connection_failure",
+)
+TIMED_OUT = (
+    "response_timeout",
+    "upstream_per_try_timeout",
+    "request_overall_timeout",
+)
+BROKE = ("upstream_reset", "upstream_response_header")
+
+
+class Result(NamedTuple):
+    """The outcome of an attempt."""
+
+    code: str
+    report: tuple[float, ...] = ()
+    faulted: bool = False  # the server finds fault with the request itself
+
+
+def read_result(status: int, unprocessed: bool, details: str, load: bytes, names: tuple[str, ...]) -> Result:
+    """From an answer's status, X-Unprocessed, code details ('' where not told) and load report."""
+    for code, starts in (("connect_failed", NEVER_SENT), ("timeout", TIMED_OUT), ("reset", BROKE)):
+        if details.startswith(starts):
+            return Result(code)
+    report = read_report(load, names) if load else ()
+    if status == 200:
+        return Result("ok", report)
+    if status in (503, 504) and unprocessed:
+        return Result("full", report)
+    return Result("error", report, 400 <= status < 500 and status not in (408, 429))
+
+
+def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
+    """The load report's values in the settings' order; empty when it can't be read."""
+    try:
+        table = json.loads(text)
+        values = tuple(float(table[name]) for name in names)
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
+        return ()
+    return values if all(0 <= v < math.inf for v in values) else ()
--- /dev/null
+++ b/quartzford/fronts/extproc/service.py
@@ -0,0 +1,152 @@
+"""The external processor put together: the desk, and the gRPC server here or in workers of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import tempfile
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from quartzford.engine import Backend, Clock, Engine, Log
+from quartzford.fronts.extproc.desk import Desk
+from quartzford.fronts.extproc.line import DeskLine
+from quartzford.fronts.extproc.messages import Names
+from quartzford.fronts.extproc.server import STREAM_SPARE_S, Direct, Processor, start_server
+from quartzford.fronts.extproc.token import Tokens
+from quartzford.operatorfile import ExtprocSettings, OperatorError
+
+RESTART_S = (0.1, 5.0)  # from a worker's death to its successor, doubling while it dies at once
+QUIET_S = 0.02
+
+
+def token_key(path: str) -> bytes:
+    """The key in a file, or one drawn for this life."""
+    if not path:
+        return os.urandom(32)
+    try:
+        key = Path(path).read_bytes()
+    except OSError as error:
+        raise OperatorError(f"extproc.token_key_file: {error}") from None
+    if len(key) < 16:
+        raise OperatorError(f"extproc.token_key_file: {path}: {len(key)} bytes; 16 or more are needed")
+    return key
+
+
+def names_of(settings: ExtprocSettings, report_names: tuple[str, ...]) -> Names:
+    return Names(
+        **dict(settings.headers), cookie=settings.cookie, default_class=settings.default_class,
+        most_headers=settings.most_headers, most_bytes=settings.most_header_bytes, report_names=report_names,
+    )  # fmt: skip
+
+
+class ExtprocFront:
+    """One decider with its desk; any number of processes that speak gRPC for it."""
+
+    def __init__(
+        self, settings: ExtprocSettings, report_names: tuple[str, ...], engine: Engine, backend: Backend,
+        clock: Clock, log: Log,
+    ) -> None:  # fmt: skip
+        self.settings, self.engine, self.clock, self.log = settings, engine, clock, log
+        self.names = names_of(settings, report_names)
+        tokens = Tokens(token_key(settings.token_key_file), os.urandom(8))
+        self.desk = Desk(
+            engine, backend, clock, tokens, settings.return_ms / 1000.0, settings.overlap_ms / 1000.0,
+            settings.most_requests,
+        )  # fmt: skip
+        self.port = 0
+        self.lines: set[DeskLine] = set()
+        self.workers: dict[int, asyncio.subprocess.Process] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.server: Any = None
+        self.processor: Processor | None = None
+        self.unix: asyncio.Server | None = None
+        self.folder: tempfile.TemporaryDirectory[str] | None = None
+        self.stopping = False
+
+    @property
+    def longest_s(self) -> float:
+        return self.engine.longest_ms / 1000.0
+
+    async def start(self) -> None:
+        if self.settings.workers == 0:
+            processor = Processor(
+                Direct(self.desk), self.names, self.longest_s, self.settings.most_streams, self.log
+            )
+            self.processor = processor
+            self.server, self.port = await start_server(processor, self.settings.listen)
+            return
+        self.folder = tempfile.TemporaryDirectory(prefix="quartzford-")
+        path = str(Path(self.folder.name) / "desk")
+        loop = asyncio.get_running_loop()
+        self.unix = await loop.create_unix_server(
+            lambda: DeskLine(self.desk, self.log, self.lines, self._greeting), path
+        )
+        host, _, port = self.settings.listen.rpartition(":")
+        for number in range(self.settings.workers):
+            self.tasks.append(loop.create_task(self._keep(number, path, f"{host}:{self.port or port}")))
+            if port == "0" and not self.port:  # the kernel's choice is every worker's port
+                self.port = await self._bound()
+        if not self.port:
+            self.port = int(port)
+
+    async def _bound(self) -> int:
+        while True:
+            for line in self.lines:
+                if line.port:
+                    return line.port
+            await asyncio.sleep(QUIET_S)
+
+    def _greeting(self) -> tuple[dict[str, Any], float]:
+        return asdict(self.names), self.longest_s
+
+    async def _keep(self, number: int, path: str, address: str) -> None:
+        """A worker, and its successors: what a dead one's callers had been told of stays with the desk."""
+        wait, most = RESTART_S
+        while not self.stopping:
+            begun = self.clock.now()
+            where = f"{address.rpartition(':')[0]}:{self.port}" if self.port else address
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "quartzford.fronts.extproc.worker", path, where,
+                str(self.settings.most_streams),
+            )  # fmt: skip
+            self.workers[number] = process
+            code = await process.wait()
+            if self.stopping:
+                return
+            self.log.line("extproc", f"worker {number} ended with {code}; another one follows")
+            wait = RESTART_S[0] if self.clock.now() - begun > most else min(most, 2 * wait)
+            await asyncio.sleep(wait)
+
+    def reconfigure(self, settings: ExtprocSettings, report_names: tuple[str, ...]) -> None:
+        """New settings under load. Streams that are open go on by the new names."""
+        self.settings, self.names = settings, names_of(settings, report_names)
+        self.desk.return_s, self.desk.overlap_s = settings.return_ms / 1000.0, settings.overlap_ms / 1000.0
+        self.desk.most = settings.most_requests
+        if self.processor is not None:
+            self.processor.configure(self.names, self.longest_s)
+        for line in self.lines:
+            line.configure()
+
+    async def stop(self) -> None:
+        """GOAWAY to all callers; what is open finishes, in the longest deadline's time."""
+        self.stopping = True
+        if self.server is not None:
+            await self.server.stop(self.longest_s + STREAM_SPARE_S)
+        for line in list(self.lines):
+            line.send("stop")
+        for process in self.workers.values():
+            try:
+                await asyncio.wait_for(process.wait(), self.longest_s + 2 * STREAM_SPARE_S)
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.unix is not None:
+            self.unix.close()
+        if self.folder is not None:
+            self.folder.cleanup()
--- /dev/null
+++ b/quartzford/fronts/extproc/worker.py
@@ -0,0 +1,60 @@
+"""A gRPC worker, which decides nothing: python -m quartzford.fronts.extproc.worker SOCKET ADDRESS STREAMS."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from typing import Any
+
+import uvloop
+
+from quartzford.engine import StderrLog
+from quartzford.fronts.extproc.line import WorkerLine
+from quartzford.fronts.extproc.messages import Names
+from quartzford.fronts.extproc.server import Processor, start_server
+
+
+def names_of(table: dict[str, Any]) -> Names:
+    return Names(**{**table, "report_names": tuple(table["report_names"])})
+
+
+async def work(path: str, address: str, most_streams: int) -> None:
+    """Serve until told to stop, then until the open streams have ended; end at once without a desk."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)  # the deciding process says when; a group's signal must not
+    told: asyncio.Queue[list[Any]] = asyncio.Queue()
+    lost = asyncio.Event()
+    _, line = await loop.create_unix_connection(lambda: WorkerLine(told.put_nowait, lost.set), path)
+    _, table, longest_s = await told.get()
+    log = StderrLog(time.monotonic)
+    processor = Processor(line, names_of(table), longest_s, most_streams, log)
+    server, port = await start_server(processor, address)
+    line.send("bound", port)
+    ending = loop.create_task(lost.wait())
+    while not ending.done():
+        following = loop.create_task(told.get())
+        await asyncio.wait((following, ending), return_when=asyncio.FIRST_COMPLETED)
+        if not following.done():
+            following.cancel()
+            break
+        message = following.result()
+        if message[0] == "stop":
+            # GOAWAY: callers open nothing new here, and what is open may finish.
+            await server.stop(processor.stream_s)
+            return
+        if message[0] == "names":
+            processor.configure(names_of(message[1]), message[2])
+    await server.stop(0)
+
+
+def main() -> int:
+    path, address, most_streams = sys.argv[1:]
+    uvloop.run(work(path, address, int(most_streams)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import math
+from typing import Protocol
 
 from quartzford.backends.http1 import HttpBackend
 from quartzford.config import Config, ConfigError
@@ -22,6 +24,15 @@
 SUMMARY_S = 10.0
 
 
+BIND_S = 5.0  # the address may still be held by the process that went before
+
+
+class Follower(Protocol):
+    """A backend: it hears of the list before the engine does."""
+
+    def listed(self, listing: Listing) -> None: ...
+
+
 class Node:
     """One balancer on sockets: start, reload, housekeeping and end of its parts."""
 
@@ -32,6 +43,7 @@
         self.budget = Budget(0)
         self.engine = Engine(config.settings, config.seed, clock, self.log)
         self.pool = HttpBackend(self.engine, self.budget, clock, loop)
+        self.followers: list[Follower] = [self.pool]
         self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
         self._configure(config)
         asked = config.settings.asks_list
@@ -108,7 +120,8 @@
         self._adopt(listing, "whole" if listing.whole else "changes")
 
     def _adopt(self, listing: Listing, how: str) -> None:
-        self.pool.listed(listing)
+        for follower in self.followers:
+            follower.listed(listing)
         self.engine.listed(how, listing.entries)
 
     def list_failed(self) -> None:
@@ -132,3 +145,16 @@
         except Exception:
             self.log.trouble("sweep")
         self.clock.call_later(SWEEP_S, self._sweep)
+
+
+async def start_listening(node: Node) -> None:
+    """Start, and wait for an address that the process before still holds."""
+    give_up = node.clock.now() + BIND_S
+    while True:
+        try:
+            return await node.start()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or node.clock.now() > give_up:
+                host, port = node.config.listen
+                raise ConfigError(f"listen: {host}:{port}: {error}") from None
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/quartzford/operatorfile.py
@@ -0,0 +1,184 @@
+"""The operator's own file (TOML): what this installation switches on beyond the platform's configuration.
+
+Every key is checked when the file is loaded: OperatorError names the key and the reason.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import Any
+
+HEADER = re.compile(r"[a-z0-9][a-z0-9!#$%&'*+.^_`|~-]*\Z")
+HEADERS = {  # what the headers are called unless the file says otherwise
+    "identity": "x-correlation-id",
+    "service_class": "x-service-class",
+    "tenant": "x-account",
+    "left": "x-time-left",
+    "idempotency": "idempotency-key",
+    "repeat": "x-repeat",
+    "hint": "x-weight-hint",
+    "destination": "x-quartzford-destination",
+    "token": "x-quartzford-token",
+    "retry": "x-quartzford-retry",
+}
+# Envoy keeps these from mutation, or gives them a meaning of its own.
+RESERVED = ("host", "connection", "content-length", "transfer-encoding", "cookie", "te", "upgrade")
+
+
+class OperatorError(Exception):
+    """A file that can't be used; the text names the key and the reason."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExtprocSettings:
+    """Section [extproc]. Times in milliseconds."""
+
+    listen: str
+    workers: int = 1  # processes that serve gRPC; 0: within the deciding process
+    decision_valid_ms: float = 100.0  # a decision that waits longer to be claimed is made anew
+    return_ms: float = 250.0  # for how long a request waits for its caller's next stream
+    overlap_ms: float = 50.0  # for how long a stream waits that asks while an attempt is out
+    most_requests: int = 20_000
+    most_streams: int = 4_000  # of each worker
+    most_headers: int = 256
+    most_header_bytes: int = 65_536
+    default_class: str = ""
+    cookie: str = "sid"
+    token_key_file: str = ""  # 16 bytes or more; without one a key is drawn at each start
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """The whole file. config: the platform-form configuration, unless EDGE_CONFIG names it."""
+
+    config: str = ""
+    extproc: ExtprocSettings | None = None
+
+
+Check = Callable[[str, Any], Any]
+
+
+def _number(least: float, most: float) -> Check:
+    def check(key: str, value: Any) -> float:
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise OperatorError(f"{key}: {value!r} is not a number")
+        if not least <= value <= most:
+            raise OperatorError(f"{key}: {value!r} is not from {least:g} to {most:g}")
+        return float(value)
+
+    return check
+
+
+def _count(least: int, most: int) -> Check:
+    def check(key: str, value: Any) -> int:
+        if type(value) is not int:
+            raise OperatorError(f"{key}: {value!r} is not a whole number")
+        if not least <= value <= most:
+            raise OperatorError(f"{key}: {value} is not from {least} to {most}")
+        return int(value)
+
+    return check
+
+
+def _text(key: str, value: Any) -> str:
+    if not isinstance(value, str) or "\0" in value or "\n" in value:
+        raise OperatorError(f"{key}: {value!r} is not a line of text")
+    return value
+
+
+def _address(key: str, value: Any) -> str:
+    text = _text(key, value)
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise OperatorError(f"{key}: {text!r} is not host:port")
+    return text
+
+
+def _headers(key: str, value: Any) -> tuple[tuple[str, str], ...]:
+    if not isinstance(value, dict):
+        raise OperatorError(f"{key}: {value!r} is not a table")
+    for name, header in value.items():
+        where = f"{key}.{name}"
+        if name not in HEADERS:
+            raise OperatorError(f"{where}: no such header; there are {', '.join(HEADERS)}")
+        if not isinstance(header, str) or not HEADER.match(header):
+            raise OperatorError(f"{where}: {header!r} is not a header's name in lower case")
+        if header in RESERVED:
+            raise OperatorError(f"{where}: {header!r} can't be set or read for this")
+        if header.startswith("x-envoy-") and name in ("destination", "token", "retry"):
+            raise OperatorError(f"{where}: {header!r}: callers keep x-envoy- headers from being set")
+    used = list((HEADERS | value).values())
+    for name, header in value.items():
+        if used.count(header) > 1:
+            raise OperatorError(f"{key}.{name}: {header!r} stands for two things")
+    return tuple(sorted(value.items()))
+
+
+EXTPROC: dict[str, Check] = {
+    "listen": _address,
+    "workers": _count(0, 64),
+    "decision_valid_ms": _number(1, 10_000),
+    "return_ms": _number(1, 60_000),
+    "overlap_ms": _number(0, 1_000),
+    "most_requests": _count(1, 1_000_000),
+    "most_streams": _count(1, 1_000_000),
+    "most_headers": _count(8, 10_000),
+    "most_header_bytes": _count(1_024, 1_048_576),
+    "default_class": _text,
+    "cookie": _text,
+    "token_key_file": _text,
+    "headers": _headers,
+}
+
+
+def _table(key: str, value: Any, checks: dict[str, Check]) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise OperatorError(f"{key}: {value!r} is not a table")
+    dot = f"{key}." if key else ""
+    for name in value:
+        if name not in checks:
+            raise OperatorError(f"{dot}{name}: no such key; there are {', '.join(checks)}")
+    return {name: check(f"{dot}{name}", value[name]) for name, check in checks.items() if name in value}
+
+
+def _extproc(key: str, value: Any) -> ExtprocSettings:
+    table = _table(key, value, EXTPROC)
+    if "listen" not in table:
+        raise OperatorError(f"{key}.listen: missing")
+    return ExtprocSettings(**table)
+
+
+def read_operator(text: str) -> OperatorSettings:
+    """The settings in a file's text; OperatorError where it can't be used."""
+    try:
+        table = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        raise OperatorError(f"not TOML: {error}") from None
+    return OperatorSettings(**_table("", table, {"config": _text, "extproc": _extproc}))
+
+
+def load_operator(path: str) -> OperatorSettings:
+    try:
+        return read_operator(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorError(f"{path}: {error}") from None
+
+
+def takes_restart(old: OperatorSettings, new: OperatorSettings) -> str:
+    """The first key whose change a reload can't carry out; '' if there is none."""
+    if (old.extproc is None) != (new.extproc is None):
+        return "extproc"
+    if old.extproc is not None and new.extproc is not None:
+        for name in ("listen", "workers", "most_streams", "token_key_file"):
+            if getattr(old.extproc, name) != getattr(new.extproc, name):
+                return f"extproc.{name}"
+    return ""
+
+
+assert {f.name for f in fields(ExtprocSettings)} == set(EXTPROC)
--- /dev/null
+++ b/quartzford/serve.py
@@ -0,0 +1,82 @@
+"""`serve --operator FILE`: one balancer, with what the operator's file switches on."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+from quartzford.config import Config, ConfigError, load_config
+from quartzford.node import Node, start_listening
+from quartzford.operatorfile import OperatorError, OperatorSettings, load_operator, takes_restart
+
+
+def config_path(operator: OperatorSettings, path: str) -> str:
+    """The platform-form file: EDGE_CONFIG, or what the operator's file names, seen from where that lies."""
+    named = os.environ.get("EDGE_CONFIG") or operator.config
+    return str(Path(path).parent / named) if named else ""
+
+
+class Service:
+    """A node with the operator's parts, their reload and their end."""
+
+    def __init__(self, path: str, loop: asyncio.AbstractEventLoop) -> None:
+        self.path = path
+        self.operator = load_operator(path)
+        config = load_config(config_path(self.operator, path))
+        self.node = Node(config, loop)
+        self.extproc: Any = None
+        if self.operator.extproc is not None:
+            self.extproc = self._extproc(config)
+
+    def _extproc(self, config: Config) -> Any:
+        # Only here: gRPC and its messages are an extra, and cost the platform's run nothing.
+        from quartzford.backends.caller import CallerBackend
+        from quartzford.fronts.extproc.service import ExtprocFront
+
+        node, settings = self.node, self.operator.extproc
+        assert settings is not None
+        self.backend = CallerBackend(node.engine, node.clock, settings.decision_valid_ms / 1000.0)
+        node.followers.append(self.backend)
+        return ExtprocFront(settings, config.report_names, node.engine, self.backend, node.clock, node.log)
+
+    async def start(self) -> None:
+        await start_listening(self.node)
+        if self.extproc is not None:
+            await self.extproc.start()
+            self.node.log.line("extproc", f"listening on port {self.extproc.port}")
+
+    def reload(self) -> None:
+        """Both files again. One that can't be used leaves all that is in force as it is."""
+        try:
+            operator = load_operator(self.path)
+            config = load_config(config_path(operator, self.path))
+            key = takes_restart(self.operator, operator)
+            if key:
+                raise OperatorError(f"{key}: a change takes a restart")
+        except (OperatorError, ConfigError) as error:
+            return self.node.log.line("reload", f"{error}; the settings in force stay")
+        self.node.reconfigure(config)
+        self.operator = operator
+        if self.extproc is not None and operator.extproc is not None:
+            self.backend.valid_s = operator.extproc.decision_valid_ms / 1000.0
+            self.extproc.reconfigure(operator.extproc, config.report_names)
+        self.node.log.line("reload", f"in force, discovery at {config.discovery[0]}:{config.discovery[1]}")
+
+    async def run(self) -> None:
+        loop = self.node.loop
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.node.terminate)
+        await self.start()
+        while not self.node.front.draining:
+            await asyncio.sleep(0.02)
+        if self.extproc is not None:
+            await self.extproc.stop()
+        await self.node.finished
+
+
+async def serve(path: str) -> None:
+    await Service(path, asyncio.get_running_loop()).run()
--- /dev/null
+++ b/tests/extproc_site.py
@@ -0,0 +1,143 @@
+"""A site for the external processor's tests: stand-in nodos, a balancer in this process, a calling proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+from envoy.service.ext_proc.v3 import external_processor_pb2 as proto
+from peers import SETTINGS, until
+
+from quartzford.backends.caller import CallerBackend
+from quartzford.config import read_config
+from quartzford.fronts.extproc.service import ExtprocFront
+from quartzford.node import Node
+from quartzford.operatorfile import ExtprocSettings
+from standins.caller import CallerProxy, Exchange, Headers, Policy, request_rows
+from standins.nodo import Nodo, fleet
+
+EFFECT = {"read": "free", "book": "guarded", "pay": "single_shot"}
+
+
+class Site:
+    """Nodos with books, one balancer with the processor on, and callers made at will."""
+
+    def __init__(self, nodos: int = 3, workers: int = 0, settings: Any = None, **extproc: Any) -> None:
+        self.count, self.settings = nodos, SETTINGS | (settings or {})
+        self.extproc = ExtprocSettings(listen="127.0.0.1:0", workers=workers, **extproc)
+        self.callers: list[CallerProxy] = []
+        self.number = 0
+
+    async def __aenter__(self) -> Site:
+        def make(number: int, books: Any) -> Nodo:
+            return Nodo(f"s{number}", books, block=number // 2)
+
+        self.nodos, self.books, self.registry = await fleet(self.count, make)
+        config = {
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "5",
+            "discovery": f"127.0.0.1:{self.registry.port}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.registry.whole(),
+            "settings": self.settings,
+        }  # fmt: skip
+        self.config = read_config(json.dumps(config))
+        node = self.node = Node(self.config, asyncio.get_running_loop())
+        self.backend = CallerBackend(node.engine, node.clock, self.extproc.decision_valid_ms / 1000.0)
+        node.followers.append(self.backend)
+        names = self.config.report_names
+        self.front = ExtprocFront(self.extproc, names, node.engine, self.backend, node.clock, node.log)
+        await node.start()
+        await self.front.start()
+        await until(lambda: node.watch.heard)
+        if self.extproc.workers:
+            await until(lambda: len(self.ports()) == self.extproc.workers, 30)
+        return self
+
+    def ports(self) -> list[int]:
+        return [line.port for line in self.front.lines if line.port]
+
+    async def __aexit__(self, *error: object) -> None:
+        for caller in self.callers:
+            await caller.close()
+        await self.front.stop()
+        self.node.watch.stop()
+        self.node.front.stop_listening()
+        await self.registry.stop()
+        for nodo in self.nodos:
+            await nodo.stop()
+
+    def caller(self, **policy: Any) -> CallerProxy:
+        caller = CallerProxy(f"127.0.0.1:{self.front.port}", Policy(**policy), random.Random(7))
+        self.callers.append(caller)
+        return caller
+
+    def exchange(self, name: str = "read", identity: str = "") -> Exchange:
+        self.number += 1
+        return Exchange(identity or f"c{self.number}", name, self.node.clock.now())
+
+    async def ask(
+        self, caller: CallerProxy, name: str = "read", *, left_s: float = 2.5, drop: str = "",
+        identity: str = "", extra: tuple[tuple[str, str], ...] = (),
+    ) -> Exchange:  # fmt: skip
+        """One client request through the caller, to its end."""
+        exchange = self.exchange(name, identity)
+        key = f"k-{exchange.identity}" if name == "book" else ""
+        rows = [*request_rows(exchange.identity, name, left_s, "acme", key), *extra]
+        return await caller.handle(exchange, rows, left_s + 0.5, drop)
+
+    def runs(self, identity: str) -> int:
+        return sum(run.identity == identity for run in self.books.runs)
+
+    def open_flights(self) -> int:
+        return len(self.front.desk.flights)
+
+
+class Raw:
+    """One stream of a caller that the test drives message by message."""
+
+    def __init__(self, caller: CallerProxy, opens: bool = False) -> None:
+        metadata = (("x-quartzford-role", "open"),) if opens else ()
+        self.call = caller.process(metadata=metadata)
+        self.headers = Headers([])
+
+    async def ask(self, rows: list[tuple[str, str]], raw: bool = True) -> Any:
+        self.headers = Headers(list(rows))
+        message = proto.ProcessingRequest(request_headers=self.headers.message(raw, True))
+        reply = await self.say(message)
+        self.headers.mutate(reply.request_headers.response.header_mutation, True)
+        return reply
+
+    async def say(self, message: Any) -> Any:
+        await self.call.write(message)
+        return await asyncio.wait_for(self.call.read(), 20)
+
+    async def report(self, status: int, *rows: tuple[str, str], details: str = "via_upstream") -> Any:
+        answer = Headers([(":status", str(status)), *rows])
+        message = proto.ProcessingRequest(response_headers=answer.message(True, True))
+        fields = message.attributes["envoy.filters.http.ext_proc"].fields
+        fields["response.code_details"].string_value = details
+        reply = await self.say(message)
+        answer.mutate(reply.response_headers.response.header_mutation, True)
+        self.answer = answer
+        return reply
+
+    def address(self) -> str:
+        return self.headers.get("x-quartzford-destination")
+
+    def token(self) -> tuple[str, str]:
+        return ("x-quartzford-token", self.headers.get("x-quartzford-token"))
+
+    def drop(self) -> None:
+        self.call.cancel()
+
+
+def status_of(reply: Any) -> int:
+    """Of an ImmediateResponse; 0 where the reply is none."""
+    code: int = reply.immediate_response.status.code
+    return code
+
+
+def rows_of(identity: str, name: str = "pay", *extra: tuple[str, str], left_s: float = 2.5) -> Any:
+    key = f"k-{identity}" if name == "book" else ""
+    return [*request_rows(identity, name, left_s, "acme", key), *extra]
--- /dev/null
+++ b/tests/test_extproc_desk.py
@@ -0,0 +1,462 @@
+"""The desk and its remote attempts without I/O: random orders of what callers, nodos and clocks do."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from helpers import CLASSES, RULES, entry, settings
+from hypothesis import given
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+
+from quartzford.backends.caller import CallerBackend
+from quartzford.engine import Engine
+from quartzford.fronts.extproc.desk import (
+    Again,
+    Ask,
+    Cut,
+    Desk,
+    Failed,
+    Opened,
+    Passed,
+    Refused,
+    Reply,
+    Stream,
+    Told,
+)  # fmt: skip
+from quartzford.fronts.extproc.outcome import Result, read_result
+from quartzford.fronts.extproc.token import Fault, Tokens
+from quartzford.membership.listing import Listing
+
+KIND = {c.name: c for c in CLASSES}
+PROOF = ("full", "connect_failed")
+
+
+class Timer:
+    def __init__(self, call: Callable[[], object]) -> None:
+        self.call: Callable[[], object] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class FakeClock:
+    """Time that moves when the test says so; seconds."""
+
+    def __init__(self) -> None:
+        self.at = 1000.0
+        self.queue: list[tuple[float, int, Timer]] = []
+        self.count = itertools.count()
+
+    def now(self) -> float:
+        return self.at
+
+    def unix_ms(self) -> float:
+        return self.at * 1000.0
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Timer:
+        timer = Timer(lambda: callback(*args))
+        heapq.heappush(self.queue, (self.at + max(0.0, delay), next(self.count), timer))
+        return timer
+
+    def call_soon(self, callback: Callable[..., object], *args: Any) -> Timer:
+        return self.call_later(0.0, callback, *args)
+
+    def pass_time(self, seconds: float) -> None:
+        end = self.at + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.at, _, timer = heapq.heappop(self.queue)
+            if timer.call is not None:
+                timer.call()
+        self.at = end
+
+
+class Quiet:
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def line(self, topic: str, text: str) -> None:
+        self.lines.append(f"{topic}: {text}")
+
+    def trouble(self, where: str) -> None:
+        raise  # noqa: PLE0704  (called from within a handler)
+
+
+class World:
+    """Callers that do as the test draws, and a referee over the four rules."""
+
+    def __init__(self, servers: int = 6, seed: int = 3) -> None:
+        self.clock, self.log = FakeClock(), Quiet()
+        self.engine = Engine(settings(), seed, self.clock, self.log)
+        self.backend = CallerBackend(self.engine, self.clock, 0.1)
+        tokens = Tokens(b"k" * 16, b"life-one")
+        self.desk = Desk(self.engine, self.backend, self.clock, tokens, 0.2, 0.03, 1000)
+        self.entries = {n: entry(n) for n in range(servers)}
+        self.drained: dict[str, float] = {}
+        self.list()
+        self.engine.start()
+        self.streams: list[Peer] = []
+
+    def list(self) -> None:
+        rows = tuple(self.entries.values())
+        self.backend.listed(Listing(1, True, rows, tuple(("s", int(r.server[1:])) for r in rows)))
+        self.engine.listed("whole", rows)
+
+    def move(self, number: int, state: str) -> None:
+        self.entries[number] = self.entries[number]._replace(state=state)
+        if state != "ready":
+            self.drained.setdefault(f"s{number}", self.clock.at)
+        else:
+            self.drained.pop(f"s{number}", None)
+        self.list()
+
+
+class Peer:
+    """A stream, and what its caller heard on it."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.heard: list[Reply] = []
+        self.asked = self.reported = 0
+        self.stream = Stream(self.hear)
+        self.dropped = False
+        world.streams.append(self)
+
+    def hear(self, reply: Reply) -> None:
+        assert not self.dropped, "a word to a stream that has ended"
+        self.heard.append(reply)
+        replies = [r for r in self.heard if not isinstance(r, Cut)]
+        assert len(replies) <= self.asked + self.reported, "a reply that nobody waits for"
+
+    def ask(self, ask: Ask) -> Peer:
+        self.asked += 1
+        self.world.desk.ask(self.stream, ask)
+        return self
+
+    def report(self, code: str) -> None:
+        self.reported += 1
+        self.world.desk.report(self.stream, Result(code))
+
+    def drop(self) -> None:
+        if not self.dropped:
+            self.dropped = True
+            self.world.desk.drop(self.stream)
+
+    def told(self) -> Told | None:
+        return next((r for r in self.heard if isinstance(r, Told)), None)
+
+    def out(self) -> bool:
+        """Its caller has an attempt out."""
+        cut = any(isinstance(r, Cut) for r in self.heard)
+        return self.told() is not None and not self.reported and not self.dropped and not cut
+
+
+class Customer:
+    """One request in its caller's hands, and what is true of it."""
+
+    def __init__(self, world: World, number: int, name: str, left_ms: float, opens: bool) -> None:
+        self.world, self.name, self.identity = world, name, f"c{number}"
+        self.deadline = world.clock.at + left_ms / 1000.0
+        self.sends: list[tuple[float, int, str]] = []  # when, where, how it ended
+        self.final: list[str] = []
+        self.token = ""
+        self.peer = Peer(world).ask(Ask(self.identity, name, left_ms, keyed=name != "pay", opens=opens))
+        self.opens, self.spare = opens, 0
+        self.look()
+
+    def next(self) -> None:
+        self.peer = Peer(self.world).ask(Ask(self.identity, self.name, token=self.token))
+        self.look()
+
+    def look(self) -> None:
+        """What the present stream heard, as a caller takes it."""
+        if self.final:
+            return
+        heard = [r for r in self.peer.heard if not isinstance(r, Cut)]
+        if any(isinstance(r, Cut) for r in self.peer.heard):
+            return self.end("cut")
+        if not heard:
+            return
+        last = heard[-1]
+        if isinstance(last, Opened) and len(heard) == 1 and not self.token:
+            self.token = last.token
+            return
+        if isinstance(last, Told) and len(self.sends) < self.world_sends():
+            self.send(last)
+        elif isinstance(last, Refused):
+            self.end("refused")
+        elif isinstance(last, Failed):
+            self.end("failed")
+        elif isinstance(last, Passed):
+            self.end("served")
+
+    def world_sends(self) -> int:
+        return len(self.sends) + (0 if getattr(self.peer, "used", False) else 1)
+
+    def send(self, told: Told) -> None:
+        self.peer.used = True  # type: ignore[attr-defined]
+        self.token = told.token
+        now, number = self.world.clock.at, int(told.address.rpartition(":")[2])
+        assert now <= self.deadline, "told after the deadline"
+        assert all(how for _, _, how in self.sends), "two attempts out at once"
+        drained = self.world.drained.get(f"s{number}")
+        assert drained is None or now - drained <= RULES.drain_grace_ms / 1000.0, "told of a drained nodo"
+        assert drained is None, "told of a nodo known to drain"
+        ran = [(at, n) for at, n, how in self.sends if how not in PROOF]
+        kind = KIND[self.name]
+        if ran and kind.effect == "unsafe":
+            raise AssertionError("an unsafe request sent again")
+        if ran and kind.effect == "keyed":
+            first, home = ran[0]
+            assert (now - first) * 1000.0 <= kind.window_ms, "sent again outside its window"
+            if kind.group == "cell":
+                assert home // 2 == number // 2
+        self.sends.append((now, number, ""))
+
+    def done(self, how: str) -> None:
+        at, number, _ = self.sends[-1]
+        self.sends[-1] = (at, number, how)
+
+    def end(self, how: str) -> None:
+        self.final.append(how)
+        if how == "refused":
+            ran = [how for _, _, how in self.sends if how not in PROOF]
+            kind = KIND[self.name]
+            harmless = kind.effect == "free" or (kind.effect, kind.group) == ("keyed", "all")
+            assert harmless or not ran, "refused though it may have run"
+
+
+STEP = st.tuples(
+    st.sampled_from(("new", "new", "open", "report", "report", "drop", "again", "overlap", "copy", "drain",
+                     "ready", "wait", "all")),
+    st.integers(0, 7),
+    st.sampled_from(("read", "book", "hold", "note", "pay")),
+    st.sampled_from(("ok", "error", "full", "timeout", "connect_failed", "reset")),
+    st.sampled_from((0.0, 0.001, 0.02, 0.04, 0.15, 0.3)),
+)  # fmt: skip
+
+
+def step(world: World, customers: list[Customer], number: int, drawn: Any) -> None:
+    what, who, name, code, wait = drawn
+    world.clock.pass_time(wait)
+    for customer in customers:
+        customer.look()
+    if what in ("new", "open"):
+        customers.append(Customer(world, number, name, 500.0 if who % 2 else 150.0, what == "open"))
+    elif what == "drain":
+        world.move(who % 6, "draining")
+    elif what == "ready":
+        world.move(who % 6, "ready")
+    elif what == "all":
+        for n in range(6):
+            world.move(n, "ready" if who % 2 else "draining")
+    live = [c for c in customers if not c.final]
+    if not live or what in ("new", "open", "drain", "ready", "wait", "all"):
+        return
+    customer = live[who % len(live)]
+    peer = customer.peer
+    if what == "report" and peer.out():
+        customer.done(code)
+        peer.report(code)
+        customer.look()
+        if any(isinstance(r, Again) for r in peer.heard) and not customer.final:
+            peer.drop()
+            customer.next()
+    elif what == "report" and customer.opens and customer.token and not customer.sends:
+        customer.opens = False
+        customer.next()
+    elif what in ("drop", "again"):
+        if peer.out():
+            customer.done("lost")
+        peer.drop()
+        if what == "again" and customer.token:
+            customer.next()
+        else:
+            customer.final.append("left")
+    elif what == "overlap" and peer.out():
+        other = Peer(world).ask(Ask(customer.identity, customer.name, token=customer.token))
+        world.clock.pass_time(0.02)
+        assert not other.told(), "a second attempt beside one that is out"
+        other.drop()
+    elif what == "copy" and peer.out():
+        other = Peer(world).ask(Ask(customer.identity, customer.name, 100.0))
+        assert other.heard == [Failed(409)]
+        other.drop()
+
+
+@given(st.integers(0, 50), st.lists(STEP, min_size=5, max_size=50))
+@budget(max_examples=400, deadline=None, derandomize=True, database=None)
+def test_answered_once_no_effect_twice_drains_kept(seed: int, steps: list[Any]) -> None:
+    world = World(seed=seed)
+    customers: list[Customer] = []
+    for number, drawn in enumerate(steps):
+        step(world, customers, number, drawn)
+    for _ in range(40):
+        world.clock.pass_time(0.1)
+        for customer in customers:
+            customer.look()
+    for customer in customers:
+        assert len(customer.final) == 1 or (not customer.final and customer.opens), "not answered once"
+    assert not world.desk.flights and not world.desk.by_identity
+    assert not world.engine.calls and not world.engine.balancer.flights
+    assert not any(s.open for s in world.engine.balancer.servers.values()), "an attempt without an end"
+    assert not any("overdue" in line for line in world.log.lines)
+
+
+def test_the_steps_reach_every_reply() -> None:
+    """The property above must not hold for want of retries, refusals and cuts."""
+    kinds: set[type[Any]] = set()
+    for seed in range(30):
+        world, customers = World(seed=seed), []
+        for number in range(60):
+            what = ("new", "report", "again", "open", "report", "wait", "all", "report")[number % 8]
+            code = ("error", "full", "reset", "ok")[(number + seed) % 4]
+            name = ("read", "book", "pay")[number % 3]
+            step(world, customers, number, (what, number % 7, name, code, (0.0, 0.02, 0.15)[number % 3]))
+        world.clock.pass_time(5.0)
+        kinds |= {type(r) for peer in world.streams for r in peer.heard}
+    assert kinds == {Told, Opened, Refused, Failed, Passed, Again, Cut}
+
+
+# ---- the table in docs/extproc.md, row by row
+
+
+def told(world: World, name: str = "pay", identity: str = "c1") -> Peer:
+    peer = Peer(world).ask(Ask(identity, name, 500.0, keyed=name != "pay"))
+    assert peer.told()
+    return peer
+
+
+@pytest.mark.parametrize("code", ["error", "timeout", "reset"])
+def test_told_and_reported_as_maybe_run_fails_an_unsafe_one(code: str) -> None:
+    world = World()
+    peer = told(world)
+    peer.report(code)
+    assert peer.heard[1:] == [Failed(502)]
+    assert Peer(world).ask(Ask("c1", "pay")).heard == [Failed(409)]
+
+
+@pytest.mark.parametrize("code", PROOF)
+def test_told_and_reported_as_never_run_goes_on(code: str) -> None:
+    world = World()
+    peer = told(world)
+    first = peer.told()
+    peer.report(code)
+    assert peer.heard[1:] == [Again()] and first is not None
+    following = Peer(world).ask(Ask("c1", "pay", token=first.token))
+    assert following.told() and following.told().address != first.address  # type: ignore[union-attr]
+
+
+def test_decided_and_never_claimed_counts_as_never_sent() -> None:
+    world = World()
+    opener = Peer(world).ask(Ask("c1", "pay", 500.0, opens=True))
+    assert isinstance(opener.heard[0], Opened)
+    world.clock.pass_time(0.25)  # nobody comes for it
+    assert not world.desk.flights and not world.engine.counts["overdue"]
+    assert world.desk.past["c1"].harmless
+    again = Peer(world).ask(Ask("c1", "pay", 500.0))
+    assert again.told()
+
+
+def test_lost_and_not_returned_is_remembered_as_maybe_run() -> None:
+    world = World()
+    peer = told(world)
+    peer.drop()
+    assert world.desk.flights
+    world.clock.pass_time(0.25)
+    assert not world.desk.flights and not world.desk.past["c1"].harmless
+    assert world.engine.counts["cancelled"] == 1 and world.engine.counts["client gone"] == 1
+
+
+def test_a_report_that_comes_twice_or_for_nothing_teaches_nothing() -> None:
+    world = World()
+    peer = told(world)
+    peer.report("ok")
+    peer.report("error")
+    assert peer.heard[1:] == [Passed(), Passed()]
+    assert world.engine.counts["error"] == 0
+    stranger = Peer(world)
+    stranger.report("error")
+    assert stranger.heard == [Passed()] and world.engine.counts["error"] == 0
+
+
+def test_the_memory_of_ended_requests_is_bounded_in_time() -> None:
+    world = World()
+    for n in range(300):
+        told(world, "read", f"c{n}").report("ok")
+        world.clock.pass_time(0.01)
+    assert len(world.desk.past) < 200
+
+
+def test_no_room_is_told_as_a_refusal_and_opens_nothing() -> None:
+    world = World()
+    world.desk.most = 1
+    told(world)
+    assert Peer(world).ask(Ask("c2", "pay")).heard == [Refused(0.0, False)]
+    assert len(world.engine.calls) == 1
+
+
+def test_a_reload_keeps_what_is_in_flight() -> None:
+    world = World()
+    peer = told(world)
+    world.engine.reconfigure(settings(balancers=3))
+    peer.report("ok")
+    assert peer.heard[1:] == [Passed()]
+
+
+# ---- tokens and outcomes
+
+
+def test_a_token_is_good_for_its_request_and_life_alone() -> None:
+    one, other = Tokens(b"k" * 16, b"life-one"), Tokens(b"k" * 16, b"life-two")
+    text = one.make(7, "c1", 1000.0)
+    assert one.read(text, "c1", 999.0) == 7
+    assert one.read(text, "c1", 1001.0) is Fault.STALE
+    assert other.read(text, "c1", 999.0) is Fault.STALE
+    assert one.read(text, "c2", 999.0) is Fault.FORGED
+    assert Tokens(b"x" * 16, b"life-one").read(text, "c1", 999.0) is Fault.FORGED
+    for n in range(len(text)):
+        changed = text[:n] + ("A" if text[n] != "A" else "B") + text[n + 1 :]
+        assert one.read(changed, "c1", 999.0) is Fault.FORGED
+    with pytest.raises(ValueError):
+        Tokens(b"short", b"life-one")
+
+
+@given(st.text(max_size=120))
+@budget(max_examples=200, deadline=None, derandomize=True, database=None)
+def test_no_text_is_a_token(text: str) -> None:
+    assert Tokens(b"k" * 16, b"life-one").read(text, "c1", 0.0) is Fault.FORGED
+
+
+@pytest.mark.parametrize(
+    ("status", "unprocessed", "details", "code"),
+    [
+        (200, False, "via_upstream", "ok"),
+        (200, True, "", "ok"),
+        (204, False, "via_upstream", "error"),
+        (500, True, "via_upstream", "error"),
+        (503, True, "via_upstream", "full"),
+        (504, True, "", "full"),
+        (503, False, "via_upstream", "error"),
+        (503, False, "", "error"),
+        (503, True, "upstream_reset_before_response_started{connection_termination}", "reset"),
+        (503, False, "upstream_reset_before_response_started{remote_connection_failure,x}", "connect_failed"),
+        (503, False, "upstream_reset_before_response_started{overflow}", "connect_failed"),
+        (503, False, "no_healthy_upstream", "connect_failed"),
+        (504, False, "response_timeout", "timeout"),
+        (504, False, "upstream_per_try_timeout", "timeout"),
+        (0, False, "", "error"),
+    ],
+)
+def test_what_a_caller_reports(status: int, unprocessed: bool, details: str, code: str) -> None:
+    assert read_result(status, unprocessed, details, b"", ()).code == code
+
+
+@pytest.mark.parametrize("load", [b"{", b"[]", b'{"queue":-1}', b'{"queue":"x"}', b"[" * 9000, b"\xff"])
+def test_a_load_report_that_cannot_be_read_spoils_nothing(load: bytes) -> None:
+    assert read_result(200, False, "", load, ("queue",)) == Result("ok")
+    assert read_result(200, False, "", b'{"queue":3}', ("queue",)) == Result("ok", (3.0,))
--- /dev/null
+++ b/tests/test_extproc_process.py
@@ -0,0 +1,243 @@
+"""The external processor as processes: workers that die, SIGTERM, SIGHUP, files turned away."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from extproc_site import Raw, Site, rows_of, status_of
+from peers import SETTINGS, run, until
+
+from quartzford.operatorfile import ExtprocSettings, OperatorError, read_operator, takes_restart
+from standins.caller import CallerProxy, Policy
+from standins.nodo import Nodo, fleet
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@run
+async def test_workers_share_one_port_and_one_view_of_a_request() -> None:
+    async with Site(3, workers=2) as site:
+        callers = [site.caller() for _ in range(8)]
+        done = await asyncio.gather(*(site.ask(c, "pay") for c in callers for _ in range(10)))
+        assert [d.statuses for d in done] == [[200]] * 80
+        assert {site.runs(d.identity) for d in done} == {1}
+        raws = [Raw(caller) for caller in callers]
+        replies = [await raw.ask(rows_of("same")) for raw in raws]
+        # Whichever workers these reached: one was told where to, all others that it is out.
+        assert sorted(map(status_of, replies)) == [0] + [409] * 7
+
+
+@run
+async def test_a_worker_killed_with_decisions_out() -> None:
+    """What its callers had been told of may run: a cobro is not sent again, and service goes on."""
+    async with Site(3, workers=2, return_ms=100.0) as site:
+        callers = [site.caller() for _ in range(12)]
+        raws = [Raw(caller) for caller in callers]
+        for number, raw in enumerate(raws):
+            await raw.ask(rows_of(f"w{number}"))
+        assert site.open_flights() == 12
+        victim = site.front.workers[0]
+        victim.kill()
+        await until(lambda: site.open_flights() < 12 and len(site.ports()) == 1)
+        await until(lambda: len(site.ports()) == 2, 30)  # its successor
+        lost = [n for n in range(12) if f"w{n}" not in site.front.desk.by_identity]
+        fresh = site.caller()
+        for number in lost:
+            assert status_of(await Raw(fresh).ask(rows_of(f"w{number}"))) == 409
+            token = raws[number].token()
+            assert status_of(await Raw(fresh).ask(rows_of(f"w{number}", "pay", token))) == 502
+        for number in set(range(12)) - set(lost):
+            assert status_of(await raws[number].report(200)) == 0
+        assert (await site.ask(site.caller(), "pay")).statuses == [200]
+
+
+class Program:
+    """`serve --operator FILE` in a process of its own."""
+
+    def __init__(self, folder: Path, workers: int) -> None:
+        self.folder, self.workers = folder, workers
+        self.operator = folder / "operator.toml"
+
+    async def __aenter__(self) -> Program:
+        self.nodos, self.books, self.registry = await fleet(2, lambda n, books: Nodo(f"s{n}", books))
+        config = {
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "5", "known": self.registry.whole(),
+            "discovery": f"127.0.0.1:{self.registry.port}", "settings": SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        }  # fmt: skip
+        (self.folder / "balancer.json").write_text(json.dumps(config))
+        self.write()
+        environment = {k: v for k, v in os.environ.items() if k != "EDGE_CONFIG"}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "quartzford", "serve", "--operator", str(self.operator), cwd=ROOT,
+            env=environment, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        line = await self.said("listening on port")
+        self.port = int(line.rpartition(" ")[2])
+        return self
+
+    def write(self, extra: str = "") -> None:
+        self.operator.write_text(
+            f'config = "balancer.json"\n[extproc]\nlisten = "127.0.0.1:0"\nworkers = {self.workers}\n{extra}'
+        )
+
+    async def said(self, text: str) -> str:
+        assert self.process.stderr is not None
+        while True:
+            line = (await asyncio.wait_for(self.process.stderr.readline(), 30)).decode()
+            assert line, "it ended"
+            if text in line:
+                return line.strip()
+
+    async def __aexit__(self, *error: object) -> None:
+        with suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+        await self.registry.stop()
+        for nodo in self.nodos:
+            await nodo.stop()
+
+    def caller(self) -> CallerProxy:
+        import random
+
+        return CallerProxy(f"127.0.0.1:{self.port}", Policy(), random.Random(1))
+
+
+@pytest.mark.parametrize("workers", [0, 2])
+def test_sigterm_with_streams_open_finishes_them_and_exits_0(tmp_path: Path, workers: int) -> None:
+    async def test() -> None:
+        async with Program(tmp_path, workers) as it:
+            caller = it.caller()
+            raws = [Raw(caller) for _ in range(5)]
+            for number, raw in enumerate(raws):
+                assert status_of(await raw.ask(rows_of(f"c{number}", left_s=2.9))) == 0
+            it.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            for raw in raws:  # GOAWAY has come: what is open finishes on its connection
+                assert status_of(await raw.report(200)) == 0
+                await raw.call.done_writing()
+            assert await asyncio.wait_for(it.process.wait(), 20) == 0
+            await caller.close()
+
+    uvloop.run(test())
+
+
+def test_sighup_takes_a_good_file_and_keeps_what_is_in_force_for_a_bad_one(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Program(tmp_path, 1) as it:
+            caller = it.caller()
+            for extra, key in (
+                ("retrun_ms = 5\n", "extproc.retrun_ms: no such key"),
+                ("return_ms = -1\n", "extproc.return_ms: -1 is not from"),
+                ("most_streams = 7\n", "extproc.most_streams: a change takes a restart"),
+            ):
+                it.write(extra)
+                it.process.send_signal(signal.SIGHUP)
+                assert key in await it.said("reload")
+            held = Raw(caller)
+            await held.ask(rows_of("held"))
+            it.write('[extproc.headers]\ndestination = "x-goes-to"\n')
+            it.process.send_signal(signal.SIGHUP)
+            assert "in force" in await it.said("reload")
+            assert status_of(await held.report(200)) == 0
+            for _ in range(200):
+                raw = Raw(caller)
+                reply = await raw.ask(rows_of(f"n{_}"))
+                await raw.report(200)
+                names = {o.header.key for o in reply.request_headers.response.header_mutation.set_headers}
+                if "x-goes-to" in names:
+                    break
+                await asyncio.sleep(0.02)
+            assert "x-goes-to" in names and it.process.returncode is None
+            await caller.close()
+
+    uvloop.run(test())
+
+
+GOOD = '[extproc]\nlisten = "127.0.0.1:9090"\n'
+BAD = [
+    ("[extproc", "not TOML"),
+    ("extproc = 3", "extproc: 3 is not a table"),
+    ("[extproc]\nworkers = 2", "extproc.listen: missing"),
+    ("[other]\nx = 1", "other: no such key"),
+    ('[extproc]\nlisten = "9090"', "extproc.listen"),
+    (GOOD + "workers = 1.5", "extproc.workers: 1.5 is not a whole number"),
+    (GOOD + "workers = true", "extproc.workers"),
+    (GOOD + "workers = 1000", "extproc.workers: 1000 is not from 0 to 64"),
+    (GOOD + "decision_valid_ms = nan", "extproc.decision_valid_ms"),
+    (GOOD + "decision_valid_ms = 0", "extproc.decision_valid_ms"),
+    (GOOD + 'return_ms = "5"', "extproc.return_ms"),
+    (GOOD + "most_requests = 0", "extproc.most_requests"),
+    (GOOD + "[extproc.headers]\nidentity = 5", "extproc.headers.identity"),
+    (GOOD + '[extproc.headers]\nidentity = "X-Id"', "extproc.headers.identity"),
+    (GOOD + '[extproc.headers]\nidentiy = "x-id"', "extproc.headers.identiy: no such header"),
+    (GOOD + '[extproc.headers]\ntoken = "x-envoy-token"', "extproc.headers.token"),
+    (GOOD + '[extproc.headers]\nidentity = "host"', "extproc.headers.identity"),
+    (GOOD + '[extproc.headers]\nidentity = "x-a"\ntoken = "x-a"', "stands for two things"),
+    (GOOD + '[extproc.headers]\nidentity = "x-account"', "stands for two things"),
+]
+
+
+@pytest.mark.parametrize(("text", "reason"), BAD)
+def test_an_operators_file_that_cannot_be_used_is_turned_away_with_its_key(text: str, reason: str) -> None:
+    with pytest.raises(OperatorError) as error:
+        read_operator(text)
+    assert reason in str(error.value) and "\n" not in str(error.value)
+
+
+def test_good_files_and_what_takes_a_restart() -> None:
+    assert read_operator("").extproc is None
+    one = read_operator(GOOD)
+    assert one.extproc == ExtprocSettings(listen="127.0.0.1:9090")
+    assert takes_restart(one, read_operator(GOOD + "return_ms = 9")) == ""
+    assert takes_restart(one, read_operator(GOOD + "workers = 9")) == "extproc.workers"
+    assert takes_restart(one, read_operator("")) == "extproc"
+
+
+@pytest.mark.parametrize(("text", "code"), [(GOOD, 0), (GOOD + "x = 1", 2)])
+def test_the_check_command(tmp_path: Path, text: str, code: int) -> None:
+    async def test() -> None:
+        path = tmp_path / "operator.toml"
+        path.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "quartzford", "check", str(path), cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        out, errors = await asyncio.wait_for(process.communicate(), 20)
+        assert process.returncode == code
+        assert (b"can be used" in out) == (code == 0) and (b"extproc.x" in errors) == (code == 2)
+
+    uvloop.run(test())
+
+
+def test_a_key_file_that_is_short_or_missing_ends_the_start(tmp_path: Path) -> None:
+    async def test(name: str) -> Any:
+        async with Site(1, token_key_file=name):
+            raise AssertionError("it started")
+
+    short = tmp_path / "key"
+    short.write_bytes(b"short")
+    for name in (str(short), str(tmp_path / "none")):
+        with pytest.raises(OperatorError, match="token_key_file"):
+            uvloop.run(test(name))
+
+
+def test_the_platforms_run_loads_no_extra() -> None:
+    """It has little memory and no use for gRPC."""
+    import subprocess
+
+    code = (
+        "import sys, quartzford.__main__, quartzford.node; heavy = {'grpc', 'envoy', 'google', 'argparse'}"
+        " & set(sys.modules); assert not heavy, heavy"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, timeout=60)
+    assert done.returncode == 0, done.stderr
--- /dev/null
+++ b/tests/test_extproc_streams.py
@@ -0,0 +1,417 @@
+"""The external processor over real streams: what a caller is told, and what each of its failures leaves."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from typing import Any
+
+import grpc
+import pytest
+import uvloop
+from envoy.service.ext_proc.v3 import external_processor_pb2 as proto
+from extproc_site import Raw, Site, rows_of, status_of
+from peers import SETTINGS, run, until
+
+from quartzford.fronts.extproc.token import Tokens
+from standins.caller import PROCESS, STAGES, CallerProxy, Headers, Policy
+
+
+@run
+async def test_a_request_goes_where_the_module_says_and_its_report_stays_here() -> None:
+    async with Site() as site:
+        caller = site.caller()
+        for name in ("read", "book", "pay"):
+            done = await site.ask(caller, name)
+            assert done.statuses == [200] and len(done.attempts) == 1 and not done.why
+            assert site.runs(done.identity) == 1
+        assert site.node.engine.counts["ok"] == 3 and not site.node.engine.calls
+        assert any(s.report > 0 or s.cost is not None for s in site.node.engine.balancer.servers.values())
+
+
+@pytest.mark.parametrize("opener", [False, True])
+def test_what_was_turned_away_goes_elsewhere_as_a_fresh_decision(opener: bool) -> None:
+    async def test() -> None:
+        async with Site(2) as site:
+            site.nodos[0].mode = "full"
+            caller = site.caller(opener=opener)
+            several = 0
+            for _ in range(20):
+                done = await site.ask(caller, "pay")
+                assert done.statuses == [200] and site.runs(done.identity) == 1
+                several += len(done.attempts) > 1
+                assert len({a.address for a in done.attempts}) == len(done.attempts)
+            assert several and not site.open_flights()
+
+    uvloop.run(test())
+
+
+@run
+async def test_an_unsafe_request_that_may_have_run_fails_and_is_not_refused() -> None:
+    async with Site(2) as site:
+        for nodo in site.nodos:
+            nodo.mode = "error"
+        caller = site.caller()
+        done = await site.ask(caller, "pay")
+        assert done.statuses == [502] and len(done.attempts) == 1 and not done.retry_after
+        again = await site.ask(caller, "pay", identity=done.identity)
+        assert again.statuses == [409] and site.runs(done.identity) == 1
+        read = await site.ask(caller, "read")
+        assert len(read.attempts) > 1 and read.statuses in ([502], [503])
+
+
+@run
+async def test_what_never_ran_is_refused_with_a_time_to_come_back() -> None:
+    async with Site(2) as site:
+        for nodo in site.nodos:
+            nodo.mode = "full"
+        done = await site.ask(site.caller(), "pay", left_s=0.6)
+        assert done.statuses == [503] and float(done.retry_after) > 0
+        for nodo in site.nodos:
+            nodo.mode = "ok"
+        # It surely did not run: the same request may come again.
+        await until(lambda: not site.open_flights())
+        again = await site.ask(site.caller(), "pay", identity=done.identity)
+        assert again.statuses == [200] and site.runs(done.identity) == 1
+
+
+@run
+async def test_a_tenant_over_its_share_is_told_429() -> None:
+    customers = [{"name": "acme", "quotaPerS": 0.5}]
+    async with Site(1, settings={"customers": customers}) as site:
+        site.node.engine.balancer.shed = 0.95
+        caller = site.caller()
+        answers = [await site.ask(caller, "read") for _ in range(40)]
+        statuses = [done.statuses[0] for done in answers]
+        assert 429 in statuses and set(statuses) <= {200, 429, 503}
+        assert all(float(done.retry_after) > 0 for done in answers if done.statuses == [429])
+
+
+# ---- callers that leave
+
+
+@run
+async def test_a_stream_dropped_before_its_decision_surely_did_not_run() -> None:
+    async with Site(1) as site:
+        site.registry.tell(site.nodos[0], health="draining")
+        await until(lambda: not site.backend.hosts)
+        caller = site.caller()
+        raw = Raw(caller)
+        message = proto.ProcessingRequest(request_headers=_message(rows_of("x1")))
+        await raw.call.write(message)
+        await until(site.open_flights)
+        raw.drop()
+        await until(lambda: not site.open_flights() and not site.node.engine.calls)
+        site.registry.tell(site.nodos[0])
+        await until(lambda: site.backend.hosts)
+        done = await site.ask(caller, "pay", identity="x1")
+        assert done.statuses == [200] and site.runs("x1") == 1
+
+
+@pytest.mark.parametrize("stage", STAGES[1:])
+@pytest.mark.parametrize("name", ["pay", "book", "read"])
+def test_a_stream_dropped_after_its_decision_may_have_run(stage: str, name: str) -> None:
+    async def test() -> None:
+        async with Site(2, return_ms=50.0) as site:
+            caller = site.caller()
+            if stage == STAGES[2]:
+                for nodo in site.nodos:
+                    nodo.gate = asyncio.Event()
+            done = await site.ask(caller, name, drop=stage)
+            assert done.dropped == stage and not done.statuses
+            await until(lambda: not site.open_flights() and not site.node.engine.calls)
+            again = await site.ask(caller, name, identity=done.identity)
+            assert again.statuses == [409]
+            assert site.runs(done.identity) == (1 if stage == STAGES[2] else 0)
+
+    uvloop.run(test())
+
+
+@run
+async def test_a_cobro_whose_decision_comes_after_its_caller_gave_up() -> None:
+    """The caller never saw it, but who can tell? It is neither sent again nor refused as harmless."""
+    async with Site(2, return_ms=50.0) as site:
+        assert site.front.processor is not None
+        ask = site.front.processor._ask
+
+        async def late(wire: Any, asked: Any) -> Any:
+            reply = await ask(wire, asked)
+            await asyncio.sleep(0.3)
+            return reply
+
+        site.front.processor._ask = late  # type: ignore[method-assign]
+        caller = site.caller(message_timeout_s=0.1)
+        done = await site.ask(caller, "pay")
+        assert done.statuses == [504] and not done.attempts
+        await until(lambda: site.node.engine.counts["client gone"] == 1)
+        site.front.processor._ask = ask  # type: ignore[method-assign]
+        again = await site.ask(caller, "pay", identity=done.identity)
+        assert again.statuses == [409] and site.runs(done.identity) == 0
+
+
+@run
+async def test_a_request_whose_time_is_over_while_its_attempt_is_out_is_cut() -> None:
+    """A caller that holds to no time-out of its own: its stream is ended, so that its client hears."""
+    async with Site(1) as site:
+        raw = Raw(site.caller())
+        assert status_of(await raw.ask(rows_of("c9", left_s=0.3))) == 0
+        with pytest.raises(grpc.aio.AioRpcError) as error:
+            await raw.call.read()
+            await raw.report(200)
+        assert error.value.code() == grpc.StatusCode.DEADLINE_EXCEEDED
+        assert site.node.engine.counts["timeout"] == 1 and not site.open_flights()
+
+
+# ---- callers that go again
+
+
+@pytest.mark.parametrize(("name", "status"), [("pay", 409), ("read", 409)])
+def test_a_second_attempt_beside_one_that_is_out_is_turned_away(name: str, status: int) -> None:
+    async def test() -> None:
+        async with Site(3, overlap_ms=30.0) as site:
+            caller = site.caller()
+            one, two = Raw(caller), Raw(caller)
+            await one.ask(rows_of("c1", name))
+            assert status_of(await two.ask(rows_of("c1", name, one.token()))) == status
+            assert status_of(await one.report(200)) == 0 and not site.open_flights()
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize(("name", "sent"), [("pay", False), ("read", True), ("book", True)])
+def test_a_caller_that_lost_its_attempt_goes_again_by_the_rules(name: str, sent: bool) -> None:
+    """Its stream ends with nothing reported, and the next one comes with the token, even a moment before."""
+
+    async def test() -> None:
+        async with Site(4, overlap_ms=5000.0) as site:
+            caller = site.caller()
+            one, two = Raw(caller), Raw(caller)
+            await one.ask(rows_of("c1", name))
+            asking = asyncio.ensure_future(two.ask(rows_of("c1", name, one.token())))
+            await until(lambda: any(f.following for f in site.front.desk.flights.values()))
+            one.drop()
+            reply = await asking
+            if not sent:
+                return _check(status_of(reply) == 502)
+            assert status_of(reply) == 0 and two.address()
+            if name == "book":  # only in its block are its repeats dropped
+                block = {f"127.0.0.1:{n.port}": n.block for n in site.nodos}
+                assert block[two.address()] == block[one.address()]
+            await two.report(200)
+            assert not site.open_flights()
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("connections", [1, 2])
+def test_the_same_id_on_two_streams_is_one_request(connections: int) -> None:
+    async def test() -> None:
+        async with Site() as site:
+            callers = [site.caller() for _ in range(connections)]
+            one, two = Raw(callers[0]), Raw(callers[-1])
+            await one.ask(rows_of("c1"))
+            assert status_of(await two.ask(rows_of("c1"))) == 409
+            await one.report(200)
+            assert status_of(await Raw(callers[-1]).ask(rows_of("c1"))) == 409
+
+    uvloop.run(test())
+
+
+# ---- what clients and strangers send
+
+
+@run
+async def test_a_token_that_is_not_ours_opens_nothing() -> None:
+    async with Site() as site:
+        caller = site.caller()
+        for text in ("x", "AAAA" * 20, "é", "=" * 9):
+            assert status_of(await Raw(caller).ask(rows_of("c1", "pay", ("x-quartzford-token", text)))) == 400
+        one = Raw(caller)
+        await one.ask(rows_of("c1"))
+        assert status_of(await Raw(caller).ask(rows_of("other", "pay", one.token()))) == 400
+        await one.report(200)
+        # Of a flight that has ended: whatever it was, it is not sent again.
+        assert status_of(await Raw(caller).ask(rows_of("c1", "pay", one.token()))) == 502
+        # Of an earlier life, with a key that lasts.
+        tokens = site.front.desk.tokens
+        tokens.key = Tokens(b"k" * 16, b"l" * 8).key
+        old = Tokens(b"k" * 16, os.urandom(8)).make(3, "c7", site.node.clock.unix_ms() + 1e6)
+        assert status_of(await Raw(caller).ask(rows_of("c7", "pay", ("x-quartzford-token", old)))) == 502
+        assert not site.books.runs and site.node.engine.counts["token stale"] == 1
+
+
+@run
+async def test_a_destination_that_a_client_wrote_is_overwritten() -> None:
+    async with Site() as site:
+        forged = (("x-quartzford-destination", "127.0.0.1:9"), ("x-quartzford-retry", "1"),
+                  ("x-envoy-upstream-rq-timeout-ms", "1"))  # fmt: skip
+        done = await site.ask(site.caller(), "pay", extra=forged)
+        assert done.statuses == [200] and done.attempts[0].address != "127.0.0.1:9"
+        raw = Raw(site.caller(), opens=True)
+        await raw.ask(rows_of("c8", "pay", *forged))
+        assert raw.address() == "" and raw.token()[1]
+
+
+def _message(rows: Any, raw: bool = True) -> Any:
+    return Headers(list(rows)).message(raw, True)
+
+
+def _check(truth: bool) -> None:
+    assert truth
+
+
+@pytest.mark.parametrize("raw_values", [True, False])
+def test_header_values_come_in_either_field(raw_values: bool) -> None:
+    async def test() -> None:
+        async with Site() as site:
+            done = await site.ask(site.caller(raw_values=raw_values), "book")
+            assert done.statuses == [200] and site.books.runs[0].key == f"k-{done.identity}"
+
+    uvloop.run(test())
+
+
+@run
+async def test_requests_that_cannot_be_read() -> None:
+    async with Site() as site:
+        caller = site.caller()
+        no_id = [row for row in rows_of("c1") if row[0] != "x-correlation-id"]
+        assert status_of(await Raw(caller).ask(no_id)) == 400
+        assert status_of(await Raw(caller).ask(rows_of("c1", "pay", ("x-correlation-id", "c2")))) == 400
+        many = [(f"x-{n}", "v") for n in range(300)]
+        assert status_of(await Raw(caller).ask(rows_of("c1", "pay", *many))) == 431
+        assert status_of(await Raw(caller).ask(rows_of("c1", "pay", ("x-long", "v" * 70_000)))) == 431
+        odd = [row for row in rows_of("c3") if row[0] not in ("x-service-class", "x-time-left")]
+        raw = Raw(caller)
+        assert status_of(await raw.ask([*odd, ("x-time-left", "soon")])) == 0 and raw.address()
+        assert site.node.engine.calls and (await raw.report(200)) and not site.open_flights()
+        assert not site.books.runs
+
+
+@run
+async def test_bytes_that_are_no_message_end_their_stream_only() -> None:
+    async with Site() as site:
+        caller = site.caller()
+        plain = caller.channel.stream_stream(PROCESS)
+        for data in (b"\xff\xff\xff", b"", b"x" * 300_000):
+            call = plain()
+            await call.write(data)
+            with pytest.raises(grpc.aio.AioRpcError):
+                assert await asyncio.wait_for(call.read(), 20) is not grpc.aio.EOF
+                raise AssertionError("it was answered")
+        assert (await site.ask(caller, "pay")).statuses == [200] and not site.open_flights()
+
+
+@run
+async def test_phases_that_were_not_asked_for_get_the_neutral_reply() -> None:
+    async with Site() as site:
+        raw = Raw(site.caller())
+        reply = await raw.say(proto.ProcessingRequest(response_headers=_message([(":status", "200")])))
+        assert reply.WhichOneof("response") == "response_headers"
+        reply = await raw.ask(rows_of("c1"))
+        override = reply.mode_override
+        assert (override.request_body_mode, override.response_body_mode) == (0, 0)
+        assert override.response_header_mode == override.SEND
+        for kind, body in (("request_body", proto.HttpBody(body=b"x")), ("request_trailers", None)):
+            message = proto.ProcessingRequest(**{kind: body or proto.HttpTrailers()})
+            reply = await raw.say(message)
+            assert reply.WhichOneof("response") == kind
+        await raw.report(200)
+        reply = await raw.say(proto.ProcessingRequest(response_body=proto.HttpBody(body=b"x")))
+        assert reply.WhichOneof("response") == "response_body" and not site.open_flights()
+
+
+# ---- decisions that age
+
+
+@run
+async def test_a_nodo_that_drains_between_decision_and_send_gets_nothing() -> None:
+    async with Site(4, decision_valid_ms=5000.0) as site:
+        caller = site.caller()
+        opener = Raw(caller, opens=True)
+        await opener.ask(rows_of("c1"))
+        (call,) = site.node.engine.calls.values()
+        assert call.attempt is not None
+        chosen = call.attempt.server
+        nodo = site.nodos[int(chosen[1:])]
+        site.registry.tell(nodo, health="draining")
+        await until(lambda: chosen not in site.backend.hosts)
+        raw = Raw(caller)
+        await raw.ask(rows_of("c1", "pay", opener.token()))
+        assert raw.address() != f"127.0.0.1:{nodo.port}" and site.node.engine.counts["moot"] == 1
+        await raw.report(200)
+
+
+@run
+async def test_a_decision_that_waited_too_long_is_made_anew() -> None:
+    async with Site(4, decision_valid_ms=1.0, return_ms=2000.0) as site:
+        caller = site.caller()
+        opener = Raw(caller, opens=True)
+        await opener.ask(rows_of("c1"))
+        await asyncio.sleep(0.02)
+        raw = Raw(caller)
+        await raw.ask(rows_of("c1", "pay", opener.token()))
+        assert raw.address() and site.node.engine.counts["moot"] == 1
+        await raw.report(200)
+        assert site.node.engine.counts["ok"] == 1
+
+
+@run
+async def test_an_opened_request_that_nobody_follows_up_is_given_up() -> None:
+    async with Site(return_ms=50.0) as site:
+        caller = site.caller()
+        opener = Raw(caller, opens=True)
+        await opener.ask(rows_of("c1"))
+        await until(lambda: not site.open_flights())
+        assert site.node.engine.counts["client gone"] == 1
+        assert status_of(await Raw(caller).ask(rows_of("c1", "pay", opener.token()))) == 502
+
+
+# ---- many streams, and a caller that does not read
+
+
+@run
+async def test_a_thousand_streams_on_one_connection() -> None:
+    async with Site(4, settings={"tickMs": 1.0}) as site:
+        for nodo in site.nodos:
+            nodo.gate, nodo.queue = asyncio.Event(), 2000
+        caller = site.caller()
+        asking = [asyncio.ensure_future(site.ask(caller, "pay", left_s=20.0)) for _ in range(1000)]
+        await until(lambda: len(site.books.runs) + sum(bool(t.done()) for t in asking) == 1000, 40)
+        for nodo in site.nodos:
+            nodo.gate.set()
+        answers = await asyncio.gather(*asking)
+        assert all(len(done.statuses) == 1 for done in answers)
+        assert not any(site.runs(done.identity) > 1 for done in answers)
+        assert not site.open_flights() and not site.node.engine.calls
+
+
+@run
+async def test_a_caller_that_reads_nothing_harms_only_itself() -> None:
+    limits = {**SETTINGS["classes"][0], "deadlineMs": 400.0, "sloMs": 300.0}
+    async with Site(2, settings={"classes": [limits, *SETTINGS["classes"][1:]]}) as site:
+        deaf, good = site.caller(), site.caller()
+        deaf_streams = []
+        for number in range(200):
+            raw = Raw(deaf)
+            await raw.call.write(proto.ProcessingRequest(request_headers=_message(rows_of(f"d{number}"))))
+            deaf_streams.append(raw)
+        assert (await site.ask(good, "pay")).statuses == [200]
+        for raw in deaf_streams:
+            raw.drop()
+        await until(lambda: not site.open_flights(), 20)
+
+
+@run
+async def test_too_many_streams_are_turned_away() -> None:
+    async with Site(most_streams=4) as site:
+        caller = site.caller()
+        streams = [Raw(caller) for _ in range(4)]
+        for number, raw in enumerate(streams):
+            await raw.ask(rows_of(f"c{number}"))
+        other = CallerProxy(f"127.0.0.1:{site.front.port}", Policy(), random.Random(1))
+        done = await site.ask(other, "pay")
+        assert done.statuses == [500] and not done.attempts
+        await other.close()
+        for raw in streams:
+            await raw.report(200)
