--- a/quartzford/fronts/extproc/line.py
+++ b/quartzford/fronts/extproc/line.py
@@ -151,7 +151,6 @@
         self.send("report", self.numbers[stream], *result)
 
     def drop(self, stream: Stream) -> None:
-        stream.over = True
         number = self.numbers.pop(stream)
         del self.streams[number]
         self.send("drop", number)
--- a/quartzford/fronts/extproc/service.py
+++ b/quartzford/fronts/extproc/service.py
@@ -14,7 +14,7 @@
 from quartzford.fronts.extproc.desk import Desk
 from quartzford.fronts.extproc.line import DeskLine
 from quartzford.fronts.extproc.messages import Names
-from quartzford.fronts.extproc.server import STREAM_SPARE_S, Direct, Processor, start_server
+from quartzford.fronts.extproc.server import STREAM_SPARE_S, Direct, Processor
 from quartzford.fronts.extproc.token import Tokens
 from quartzford.operatorfile import ExtprocSettings, OperatorError
 
@@ -60,7 +60,6 @@
         self.lines: set[DeskLine] = set()
         self.workers: dict[int, asyncio.subprocess.Process] = {}
         self.tasks: list[asyncio.Task[None]] = []
-        self.server: Any = None
         self.processor: Processor | None = None
         self.unix: asyncio.Server | None = None
         self.folder: tempfile.TemporaryDirectory[str] | None = None
@@ -72,11 +71,9 @@
 
     async def start(self) -> None:
         if self.settings.workers == 0:
-            processor = Processor(
-                Direct(self.desk), self.names, self.longest_s, self.settings.most_streams, self.log
-            )
-            self.processor = processor
-            self.server, self.port = await start_server(processor, self.settings.listen)
+            link, most = Direct(self.desk), self.settings.most_streams
+            self.processor = Processor(link, self.names, self.longest_s, most, self.clock, self.log)
+            self.port = await self.processor.listen(self.settings.listen)
             return
         self.folder = tempfile.TemporaryDirectory(prefix="quartzford-")
         path = str(Path(self.folder.name) / "desk")
@@ -133,8 +130,8 @@
     async def stop(self) -> None:
         """GOAWAY to all callers; what is open finishes, in the longest deadline's time."""
         self.stopping = True
-        if self.server is not None:
-            await self.server.stop(self.longest_s + STREAM_SPARE_S)
+        if self.processor is not None:
+            await self.processor.stop(self.longest_s + STREAM_SPARE_S)
         for line in list(self.lines):
             line.send("stop")
         for process in self.workers.values():
--- a/quartzford/fronts/extproc/worker.py
+++ b/quartzford/fronts/extproc/worker.py
@@ -5,15 +5,14 @@
 import asyncio
 import signal
 import sys
-import time
 from typing import Any
 
 import uvloop
 
-from quartzford.engine import StderrLog
+from quartzford.engine import LoopClock, StderrLog
 from quartzford.fronts.extproc.line import WorkerLine
 from quartzford.fronts.extproc.messages import Names
-from quartzford.fronts.extproc.server import Processor, start_server
+from quartzford.fronts.extproc.server import Processor
 
 
 def names_of(table: dict[str, Any]) -> Names:
@@ -29,10 +28,9 @@
     lost = asyncio.Event()
     _, line = await loop.create_unix_connection(lambda: WorkerLine(told.put_nowait, lost.set), path)
     _, table, longest_s = await told.get()
-    log = StderrLog(time.monotonic)
-    processor = Processor(line, names_of(table), longest_s, most_streams, log)
-    server, port = await start_server(processor, address)
-    line.send("bound", port)
+    clock = LoopClock(loop)
+    processor = Processor(line, names_of(table), longest_s, most_streams, clock, StderrLog(clock.now))
+    line.send("bound", await processor.listen(address))
     ending = loop.create_task(lost.wait())
     while not ending.done():
         following = loop.create_task(told.get())
@@ -43,11 +41,10 @@
         message = following.result()
         if message[0] == "stop":
             # GOAWAY: callers open nothing new here, and what is open may finish.
-            await server.stop(processor.stream_s)
-            return
+            return await processor.stop(processor.stream_s)
         if message[0] == "names":
             processor.configure(names_of(message[1]), message[2])
-    await server.stop(0)
+    await processor.stop(0.0)
 
 
 def main() -> int:
--- a/quartzford/operatorfile.py
+++ b/quartzford/operatorfile.py
@@ -44,7 +44,7 @@
     return_ms: float = 250.0  # for how long a request waits for its caller's next stream
     overlap_ms: float = 50.0  # for how long a stream waits that asks while an attempt is out
     most_requests: int = 20_000
-    most_streams: int = 4_000  # of each worker
+    most_streams: int = 4_000  # of each connection at a time
     most_headers: int = 256
     most_header_bytes: int = 65_536
     default_class: str = ""
--- /dev/null
+++ b/quartzford/protocols/__init__.py
@@ -0,0 +1,1 @@
+"""Wire protocols without I/O: bytes in, events and bytes out."""
