--- a/quartzford/fronts/extproc/desk.py
+++ b/quartzford/fronts/extproc/desk.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
@@ -280,21 +281,23 @@
     """All flights of one decider.
 
     return_s: for how long a flight waits for the caller's next stream; overlap_s: for how long a stream waits
-    that asks while an attempt of its request is out; most: flights at once.
+    that asks while an attempt of its request is out; most: flights at once; queue_s: for how long a new
+    request may have waited before it reaches the desk.
     """
 
     def __init__(
         self, engine: Engine, backend: Backend, clock: Clock, tokens: Tokens, return_s: float,
-        overlap_s: float, most: int,
+        overlap_s: float, most: int, queue_s: float = 0.1,
     ) -> None:  # fmt: skip
         self.engine, self.backend, self.clock, self.tokens = engine, backend, clock, tokens
-        self.return_s, self.overlap_s, self.most = return_s, overlap_s, most
+        self.return_s, self.overlap_s, self.most, self.queue_s = return_s, overlap_s, most, queue_s
         self.flights: dict[int, Flight] = {}
         self.by_identity: dict[str, Flight] = {}
         self.past: OrderedDict[str, Ended] = OrderedDict()  # by correlation id, oldest end first
 
-    def ask(self, stream: Stream, ask: Ask) -> None:
-        """A request's headers have come; exactly one reply follows, unless the stream ends before."""
+    def ask(self, stream: Stream, ask: Ask, at: float = math.inf) -> None:
+        """A request's headers came at this moment (or now); one reply follows, unless the stream ends."""
+        at = min(at, self.clock.now())
         if ask.token:
             return self._next_attempt(stream, ask)
         past = self.past.get(ask.identity)
@@ -302,10 +305,18 @@
             # The caller's own copy of a request that is out or may have run: neither beside it nor again.
             self.engine.counts["same id"] += 1
             return stream.say(Failed(409))
-        if len(self.flights) >= self.most:
-            self.engine.counts["no room"] += 1
-            return stream.say(Refused(0.0, False))
-        self._take(stream, ask)
+        waited = self.clock.now() - at
+        if len(self.flights) >= self.most or waited > self.queue_s:
+            # No room here: neither the fleet nor the module is asked, and nothing has run.
+            self.engine.counts["no room" if waited <= self.queue_s else "waited too long"] += 1
+            return stream.say(Refused(self._pause_ms(ask), False))
+        self._take(stream, ask, waited)
+
+    def _pause_ms(self, ask: Ask) -> float:
+        """When a request that found no room may come back, as the module would have it."""
+        limits, kind = self.engine.settings.limits, self.engine.classes.get(ask.service_class)
+        aim = kind.aim_ms if kind is not None else self.engine.longest_ms
+        return min(limits.max_retry_after_ms, aim / 4) if limits.retry_after else 0.0
 
     def report(self, stream: Stream, result: Result) -> None:
         """An answer's headers have come; exactly one reply follows, at once."""
@@ -335,11 +346,12 @@
                 break
             self.past.popitem(last=False)
 
-    def _take(self, stream: Stream, ask: Ask) -> None:
+    def _take(self, stream: Stream, ask: Ask, waited: float) -> None:
         kind = self.engine.classes.get(ask.service_class)
         left = ask.left_ms
         if left < 0:
             left = kind.deadline_ms if kind is not None else self.engine.longest_ms
+        left = max(0.0, left - waited * 1000.0)
         flight = Flight(self, ask.identity)
         flight.number = number = self.engine.next_number()
         flight.deadline = self.clock.now() + left / 1000.0
--- a/quartzford/fronts/extproc/line.py
+++ b/quartzford/fronts/extproc/line.py
@@ -1,6 +1,7 @@
 """The line between a gRPC worker and the process that decides: JSON arrays, one a line, over a Unix socket.
 
-Up: ["ask", stream, ...Ask], ["report", stream, ...Result], ["drop", stream], ["bound", port].
+Up: ["ask", stream, at, ...Ask] (at: monotonic seconds, one clock for all processes of a machine),
+["report", stream, ...Result], ["drop", stream], ["bound", port].
 Down: [reply, stream, ...fields], ["names", {...}, longest_s], ["stop"]. A line that ends drops all its
 streams: the worker has died, and what its callers had been told of may run.
 """
@@ -9,6 +10,7 @@
 
 import asyncio
 import json
+from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -33,6 +35,10 @@
 }
 
 
+TURN_S = 0.004  # the deciding process works so long at a line, then looks at all else: drains above all
+QUEUE = 8_192  # lines read ahead
+
+
 class Lines(asyncio.Protocol):
     """Lines in, lines out; what is written in one turn of the loop goes out as one piece."""
 
@@ -48,8 +54,7 @@
 
     def data_received(self, data: bytes) -> None:
         *whole, self.rest = (self.rest + data).split(b"\n")
-        for line in whole:
-            self.line(json.loads(line))
+        self.lines_in([json.loads(line) for line in whole])
 
     def send(self, *values: Any) -> None:
         if not self.out:
@@ -57,16 +62,23 @@
         self.out.append(json.dumps(values, separators=(",", ":")).encode())
 
     def _flush(self) -> None:
+        if not self.out:
+            return
         data, self.out = b"\n".join([*self.out, b""]), []
         if not self.transport.is_closing():
             self.transport.write(data)
 
-    def line(self, message: list[Any]) -> None:
+    def lines_in(self, messages: list[list[Any]]) -> None:
         raise NotImplementedError
 
 
 class DeskLine(Lines):
-    """The deciding process's end."""
+    """The deciding process's end.
+
+    What waits here is worked off in short turns: ends before asks, and asks by their class's worth. An
+    overload of this process must delay neither the news of a drain nor the end of what is out, and costs the
+    least worth first; an ask that waited too long is turned away by the desk.
+    """
 
     def __init__(
         self, desk: Desk, log: Log, lines: set[DeskLine], greeting: Callable[[], tuple[dict[str, Any], float]]
@@ -75,6 +87,11 @@
         self.desk, self.log, self.lines, self.greeting = desk, log, lines, greeting
         self.streams: dict[int, Stream] = {}
         self.port = 0
+        self.ends: deque[list[Any]] = deque()
+        self.asks: dict[float, deque[list[Any]]] = {}  # by worth
+        self.waiting = 0
+        self.early: set[int] = set()  # streams that ended before their ask was looked at
+        self.working = self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -87,20 +104,58 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.lines.discard(self)
         streams, self.streams = self.streams, {}
+        self.ends.clear()
+        self.asks.clear()
+        self.waiting = 0
         for stream in streams.values():
             self.desk.drop(stream)
 
-    def line(self, message: list[Any]) -> None:
-        try:
-            self._line(message)
-        except Exception:
-            self.log.trouble("line")
+    def lines_in(self, messages: list[list[Any]]) -> None:
+        classes = self.desk.engine.classes
+        for message in messages:
+            if message[0] != "ask":
+                self.ends.append(message)
+                continue
+            kind = classes.get(message[4])
+            self.asks.setdefault(kind.worth if kind is not None else 0.0, deque()).append(message)
+            self.waiting += 1
+        if not self.paused and self.waiting > QUEUE:
+            self.paused = True
+            self.transport.pause_reading()
+        if not self.working:
+            self._work()
+
+    def _work(self) -> None:
+        now = self.desk.clock.now
+        end = now() + TURN_S
+        while (self.ends or self.waiting) and now() < end:
+            try:
+                self._line(self._next())
+            except Exception:
+                self.log.trouble("line")
+        self._flush()
+        self.working = bool(self.ends or self.waiting)
+        if self.working:
+            self.loop.call_soon(self._work)
+        elif self.paused:
+            self.paused = False
+            if not self.transport.is_closing():
+                self.transport.resume_reading()
+
+    def _next(self) -> list[Any]:
+        if self.ends:
+            return self.ends.popleft()
+        worth = max(worth for worth, queue in self.asks.items() if queue)
+        self.waiting -= 1
+        return self.asks[worth].popleft()
 
     def _line(self, message: list[Any]) -> None:
         what, number = message[0], message[1]
         if what == "ask":
+            if number in self.early:
+                return self.early.discard(number)
             stream = self.streams.get(number) or self._stream(number)
-            self.desk.ask(stream, Ask(*message[2:]))
+            self.desk.ask(stream, Ask(*message[3:]), message[2])
         elif what == "report":
             code, report, faulted = message[2:]
             self.desk.report(self.streams[number], Result(code, tuple(report), faulted))
@@ -108,9 +163,16 @@
             gone = self.streams.pop(number, None)
             if gone is not None:
                 self.desk.drop(gone)
+            elif self.waiting:
+                self._never_asked(number)
         elif what == "bound":
             self.port = number
 
+    def _never_asked(self, number: int) -> None:
+        """A stream has ended whose ask, if it made one, still waits."""
+        if any(message[1] == number for queue in self.asks.values() for message in queue):
+            self.early.add(number)
+
     def _stream(self, number: int) -> Stream:
         def reply(said: Reply) -> None:
             self.send(type(said).__name__, number, *said)
@@ -122,9 +184,11 @@
 class WorkerLine(Lines):
     """A worker's end; a Link for its streams."""
 
-    def __init__(self, told: Callable[[list[Any]], None], ended: Callable[[], None]) -> None:
+    def __init__(
+        self, told: Callable[[list[Any]], None], ended: Callable[[], None], now: Callable[[], float]
+    ) -> None:
         super().__init__()
-        self.told, self.ended = told, ended
+        self.told, self.ended, self.now = told, ended, now
         self.numbers: dict[Stream, int] = {}
         self.streams: dict[int, Stream] = {}
         self.last = 0
@@ -132,20 +196,22 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.ended()
 
-    def line(self, message: list[Any]) -> None:
-        kind = REPLIES.get(message[0])
-        if kind is None:
-            return self.told(message)
-        stream = self.streams.get(message[1])
-        if stream is not None:
-            stream.say(kind(*message[2:]))
+    def lines_in(self, messages: list[list[Any]]) -> None:
+        for message in messages:
+            kind = REPLIES.get(message[0])
+            if kind is None:
+                self.told(message)
+                continue
+            stream = self.streams.get(message[1])
+            if stream is not None:
+                stream.say(kind(*message[2:]))
 
     def open(self, stream: Stream) -> None:
         self.last += 1
         self.numbers[stream], self.streams[self.last] = self.last, stream
 
     def ask(self, stream: Stream, ask: Ask) -> None:
-        self.send("ask", self.numbers[stream], *ask)
+        self.send("ask", self.numbers[stream], round(self.now(), 6), *ask)
 
     def report(self, stream: Stream, result: Result) -> None:
         self.send("report", self.numbers[stream], *result)
--- a/quartzford/fronts/extproc/service.py
+++ b/quartzford/fronts/extproc/service.py
@@ -54,7 +54,7 @@
         tokens = Tokens(token_key(settings.token_key_file), os.urandom(8))
         self.desk = Desk(
             engine, backend, clock, tokens, settings.return_ms / 1000.0, settings.overlap_ms / 1000.0,
-            settings.most_requests,
+            settings.most_requests, settings.queue_ms / 1000.0,
         )  # fmt: skip
         self.port = 0
         self.lines: set[DeskLine] = set()
@@ -121,7 +121,7 @@
         """New settings under load. Streams that are open go on by the new names."""
         self.settings, self.names = settings, names_of(settings, report_names)
         self.desk.return_s, self.desk.overlap_s = settings.return_ms / 1000.0, settings.overlap_ms / 1000.0
-        self.desk.most = settings.most_requests
+        self.desk.most, self.desk.queue_s = settings.most_requests, settings.queue_ms / 1000.0
         if self.processor is not None:
             self.processor.configure(self.names, self.longest_s)
         for line in self.lines:
--- a/quartzford/fronts/extproc/worker.py
+++ b/quartzford/fronts/extproc/worker.py
@@ -26,9 +26,11 @@
         signal.signal(number, signal.SIG_IGN)  # the deciding process says when; a group's signal must not
     told: asyncio.Queue[list[Any]] = asyncio.Queue()
     lost = asyncio.Event()
-    _, line = await loop.create_unix_connection(lambda: WorkerLine(told.put_nowait, lost.set), path)
-    _, table, longest_s = await told.get()
     clock = LoopClock(loop)
+    _, line = await loop.create_unix_connection(
+        lambda: WorkerLine(told.put_nowait, lost.set, clock.now), path
+    )
+    _, table, longest_s = await told.get()
     processor = Processor(line, names_of(table), longest_s, most_streams, clock, StderrLog(clock.now))
     line.send("bound", await processor.listen(address))
     ending = loop.create_task(lost.wait())
--- a/quartzford/operatorfile.py
+++ b/quartzford/operatorfile.py
@@ -43,6 +43,7 @@
     decision_valid_ms: float = 100.0  # a decision that waits longer to be claimed is made anew
     return_ms: float = 250.0  # for how long a request waits for its caller's next stream
     overlap_ms: float = 50.0  # for how long a stream waits that asks while an attempt is out
+    queue_ms: float = 100.0  # for how long a request may wait for the deciding process
     most_requests: int = 20_000
     most_streams: int = 4_000  # of each connection at a time
     most_headers: int = 256
@@ -126,6 +127,7 @@
     "decision_valid_ms": _number(1, 10_000),
     "return_ms": _number(1, 60_000),
     "overlap_ms": _number(0, 1_000),
+    "queue_ms": _number(1, 10_000),
     "most_requests": _count(1, 1_000_000),
     "most_streams": _count(1, 1_000_000),
     "most_headers": _count(8, 10_000),
--- a/tests/test_extproc_desk.py
+++ b/tests/test_extproc_desk.py
@@ -400,6 +400,19 @@
     assert len(world.engine.calls) == 1
 
 
+def test_a_request_that_waited_too_long_for_the_desk_is_refused_unasked() -> None:
+    world = World()
+    peer = Peer(world)
+    peer.asked += 1
+    world.desk.ask(peer.stream, Ask("c1", "pay", 500.0), world.clock.at - 0.2)
+    assert peer.heard == [Refused(0.0, False)] and not world.engine.calls
+    late = Peer(world)
+    late.asked += 1
+    world.desk.ask(late.stream, Ask("c2", "pay", 500.0), world.clock.at - 0.05)
+    (call,) = world.engine.calls.values()
+    assert late.told() and call.deadline == pytest.approx(world.clock.at + 0.45)
+
+
 def test_a_reload_keeps_what_is_in_flight() -> None:
     world = World()
     peer = told(world)
--- /dev/null
+++ b/tests/test_extproc_line.py
@@ -0,0 +1,125 @@
+"""The line between a worker and the process that decides: what an overload delays, and what it must not."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import uvloop
+from helpers import settings
+from test_extproc_desk import World
+
+from quartzford.fronts.extproc.desk import Ask
+from quartzford.fronts.extproc.line import DeskLine
+
+
+class Pipe:
+    """A transport that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written: list[Any] = []
+        self.reading = True
+
+    def write(self, data: bytes) -> None:
+        self.written += [json.loads(line) for line in data.splitlines()]
+
+    def is_closing(self) -> bool:
+        return False
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+
+def up(*messages: Any) -> bytes:
+    return b"".join(json.dumps(m).encode() + b"\n" for m in messages)
+
+
+def ask(number: int, at: float, name: str, identity: str = "") -> list[Any]:
+    return ["ask", number, at, *Ask(identity or f"c{number}", name, 500.0)]
+
+
+def on_loop(test: Any) -> None:
+    async def main() -> None:
+        world = World()
+        line = DeskLine(world.desk, world.log, set(), lambda: ({}, 1.0))
+        pipe = Pipe()
+        line.connection_made(pipe)  # type: ignore[arg-type]
+        await asyncio.sleep(0)
+        pipe.written.clear()
+        await test(world, line, pipe)
+
+    uvloop.run(main())
+
+
+def test_lines_in_pieces_and_their_replies() -> None:
+    async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
+        data = up(ask(1, world.clock.at, "pay"))
+        for at in range(0, len(data), 9):
+            line.data_received(data[at : at + 9])
+        await asyncio.sleep(0)
+        assert [m[:2] for m in pipe.written] == [["Told", 1]]
+        line.data_received(up(["report", 1, "ok", [], False], ["drop", 1]))
+        await asyncio.sleep(0)
+        assert pipe.written[1:] == [["Passed", 1]] and not line.streams and not world.desk.flights
+
+    on_loop(test)
+
+
+def test_ends_go_before_asks_and_asks_by_worth() -> None:
+    async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
+        line.data_received(up(ask(1, world.clock.at, "pay")))
+        line.working = True  # a turn is under way: what comes now waits
+        now = world.clock.at
+        line.data_received(up(ask(2, now, "read"), ask(3, now, "pay"), ask(4, now, "book")))
+        line.data_received(up(["report", 1, "ok", [], False]))
+        line._work()
+        await asyncio.sleep(0)
+        assert [m[1] for m in pipe.written] == [1, 1, 3, 4, 2]
+        assert pipe.written[1][0] == "Passed"
+
+    on_loop(test)
+
+
+def test_a_stream_that_ended_before_its_ask_was_looked_at_opens_nothing() -> None:
+    async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
+        line.working = True
+        line.data_received(up(ask(1, world.clock.at, "pay"), ["drop", 1], ["drop", 9]))
+        line._work()
+        await asyncio.sleep(0)
+        assert not pipe.written and not world.engine.calls and not line.early and not line.streams
+
+    on_loop(test)
+
+
+def test_an_overload_stops_reading_and_turns_away_what_waited() -> None:
+    async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
+        line.working = True
+        old = world.clock.at - 0.2
+        line.data_received(up(*(ask(n, old, "read") for n in range(10_000))))
+        assert not pipe.reading
+        line._work()
+        while line.working:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert pipe.reading and len(pipe.written) == 10_000
+        assert {m[0] for m in pipe.written} == {"Refused"} and not world.engine.calls
+
+    on_loop(test)
+
+
+def test_a_line_that_ends_drops_its_streams_and_a_bad_one_spoils_nothing() -> None:
+    async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
+        line.data_received(up(ask(1, world.clock.at, "pay"), ask(2, world.clock.at, "read")))
+        world.log.trouble = lambda where: world.log.lines.append(where)  # type: ignore[method-assign]
+        line.data_received(up(["report", 77, "ok", [], False], ["odd", 1]))
+        assert len(world.desk.flights) == 2
+        line.connection_lost(None)
+        world.clock.pass_time(1.0)
+        assert not world.desk.flights and world.engine.counts["client gone"] == 2
+        assert settings().balancers == 1
+
+    on_loop(test)
