--- a/quartzford/fronts/extproc/desk.py
+++ b/quartzford/fronts/extproc/desk.py
@@ -69,7 +69,12 @@
 
 
 class Again(NamedTuple):
-    """The module would send it again: the caller is to ask for a further attempt."""
+    """The module would send it again: the caller is to ask for a further attempt.
+
+    harmless: it surely has not run yet. A caller that can't go again leaves its client with 503 or 502.
+    """
+
+    harmless: bool
 
 
 class Cut(NamedTuple):
@@ -204,7 +209,7 @@
         attempt.reported(result.code, result.report, result.faulted)
         if not self.done:
             self.owed = None
-            stream.say(Again())
+            stream.say(Again(not self.may_have_run))
             self._expect()
 
     def drop(self, stream: Stream) -> None:
--- a/quartzford/fronts/extproc/messages.py
+++ b/quartzford/fronts/extproc/messages.py
@@ -120,10 +120,16 @@
         self.attempt_mode, self.opener_mode = headers_only(send), headers_only(skip)
         gone = [LOAD, names.token, names.retry, names.destination]
         self.passed = self._response_headers(proto.HeaderMutation(remove_headers=gone))
-        again = proto.HeaderMutation(
-            set_headers=[header(names.retry, b"1")], remove_headers=[LOAD, names.token]
-        )
-        self.again = self._response_headers(again)
+        # If the caller can't go on, a nodo's own 503 must not pass for a refusal of what may have run.
+        self.again = {
+            harmless: self._response_headers(
+                proto.HeaderMutation(
+                    set_headers=[header(names.retry, b"1"), header(":status", status)],
+                    remove_headers=[LOAD, names.token],
+                )
+            )
+            for harmless, status in ((True, b"503"), (False, b"502"))
+        }
         # A request that no attempt may be made for keeps no destination that a client wrote.
         self.neutral = {
             "request_headers": serialized(
@@ -164,8 +170,8 @@
                 return immediate(status, 0.0, self.names.retry)
             case Passed():
                 return self.passed
-            case Again():
-                return self.again
+            case Again(harmless):
+                return self.again[harmless]
             case _:
                 raise ValueError(f"{reply!r} is no message")
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -295,7 +295,7 @@
             await call.done_writing()
             if answer.get("x-backend-load"):
                 exchange.why = "a load report reached the client"
-            return status, bool(answer.get(policy.retriable))
+            return int(answer.get(":status")), bool(answer.get(policy.retriable))
         except grpc.aio.AioRpcError as error:
             raise AnsweredError(500, f"ext_proc stream: {error.code().name}") from None
         finally:
--- a/tests/test_extproc_desk.py
+++ b/tests/test_extproc_desk.py
@@ -346,7 +346,7 @@
     peer = told(world)
     first = peer.told()
     peer.report(code)
-    assert peer.heard[1:] == [Again()] and first is not None
+    assert peer.heard[1:] == [Again(True)] and first is not None
     following = Peer(world).ask(Ask("c1", "pay", token=first.token))
     assert following.told() and following.told().address != first.address  # type: ignore[union-attr]
 
--- a/tests/test_extproc_streams.py
+++ b/tests/test_extproc_streams.py
@@ -77,6 +77,20 @@
         assert again.statuses == [200] and site.runs(done.identity) == 1
 
 
+@pytest.mark.parametrize(("name", "mode", "status"), [("pay", "full", 503), ("book", "error", 502)])
+def test_a_caller_that_cannot_go_again_leaves_the_truth(name: str, mode: str, status: int) -> None:
+    """The nodo's own answer must not pass for a refusal of what may have run, nor the other way round."""
+
+    async def test() -> None:
+        async with Site(4) as site:
+            for nodo in site.nodos:
+                nodo.mode = mode
+            done = await site.ask(site.caller(retries=0), name)
+            assert done.statuses == [status] and len(done.attempts) == 1
+
+    uvloop.run(test())
+
+
 @run
 async def test_a_tenant_over_its_share_is_told_429() -> None:
     customers = [{"name": "acme", "quotaPerS": 0.5}]
