--- a/standins/caller.py
+++ b/standins/caller.py
@@ -56,6 +56,7 @@
     at: float
     address: str
     outcome: str = ""
+    ended: float = 0.0  # its connection is free again or closed
 
 
 @dataclass
@@ -281,7 +282,10 @@
                 raise AnsweredError(503, "no destination: an original-destination cluster has no host")
             if drop == STAGES[1]:
                 raise _LeftError
-            status, answer, details = await self._send(exchange, headers, address, drop)
+            try:
+                status, answer, details = await self._send(exchange, headers, address, drop)
+            finally:
+                exchange.attempts[-1].ended = monotonic()
             begun = monotonic()
             message = proto.ProcessingRequest(response_headers=answer.message(policy.raw_values, True))
             fields = message.attributes["envoy.filters.http.ext_proc"].fields
