--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -37,10 +37,14 @@
     await node.finished
 
 
-def command(arguments: list[str]) -> None:
-    """A subcommand. What it needs is imported only now: the platform's run stays lean."""
+def command(arguments: list[str]) -> int:
+    """A subcommand; its exit status. What it needs is imported only now: the platform's run stays lean."""
     import argparse
 
+    if arguments[0] == "load":
+        from quartzford.load.cli import main as load
+
+        return load(arguments[1:])
     from quartzford.operatorfile import OperatorError, load_operator
     from quartzford.serve import serve
 
@@ -50,6 +54,7 @@
     serving.add_argument("--operator", required=True, metavar="FILE")
     checking = commands.add_parser("check", help="say whether an operator's file can be used, and why not")
     checking.add_argument("file", metavar="FILE")
+    commands.add_parser("load", help="drive a balancer with open-loop load, and measure", add_help=False)
     options = parser.parse_args(arguments)
     try:
         if options.command == "check":
@@ -59,13 +64,14 @@
             uvloop.run(serve(options.operator))
     except OperatorError as error:
         raise ConfigError(str(error)) from None
+    return 0
 
 
 def main() -> int:
     """Exit 0 after SIGTERM, 2 with one plain line when a configuration can't be used."""
     try:
         if len(sys.argv) > 1:
-            command(sys.argv[1:])
+            return command(sys.argv[1:])
         else:
             uvloop.run(run(load()))
     except ConfigError as error:
--- /dev/null
+++ b/quartzford/load/clients.py
@@ -0,0 +1,82 @@
+"""What a client does: what it asks, when it gives a try up, whether and when it tries again. No I/O."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import NamedTuple
+
+SERVED, REFUSED, FAILED, NO_ANSWER, UNREACHABLE = "served", "refused", "failed", "no answer", "unreachable"
+ENDS = (SERVED, REFUSED, FAILED, NO_ANSWER, UNREACHABLE)
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A class of requests, as clients know it. Times in seconds."""
+
+    name: str
+    share: float = 1.0
+    aim_s: float = 0.5
+    deadline_s: float = 2.0
+    worth: float = 1.0
+    late_worth: float = 0.0
+    effect: str = "free"  # free, keyed or unsafe
+    group: str = "all"  # of a keyed one: where its repeats are dropped
+
+
+BRIEF = (
+    Kind("consulta", 0.6, 0.5, 2.0, 1.0),
+    Kind("reserva", 0.3, 0.6, 2.0, 10.0, effect="keyed", group="cell"),
+    Kind("cobro", 0.1, 0.6, 2.0, 8.0, effect="unsafe"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Manners:
+    """How clients behave.
+
+    tries: at most, the first included; wait_s: before a further one (0: at once); patience: a try is given up
+    after a share of the class's deadline drawn from this span; heeds: the share of clients that follow
+    Retry-After; fresh: the share of tries on a connection of their own.
+    """
+
+    tries: int = 4
+    wait_s: float = 0.0
+    patience: tuple[float, float] = (0.30, 0.55)
+    heeds: float = 1.0
+    fresh: float = 0.0
+
+
+SINGLE = Manners(tries=1, patience=(1.0, 1.0))
+
+
+class Next(NamedTuple):
+    """A further try, so many seconds from now."""
+
+    wait_s: float
+
+
+def patience_s(kind: Kind, manners: Manners, rng: random.Random) -> float:
+    """How long a try is waited for."""
+    least, most = manners.patience
+    return kind.deadline_s * (least + (most - least) * rng.random())
+
+
+def next_try(
+    kind: Kind, manners: Manners, end: str, tries: int, left_s: float, retry_after_s: float,
+    rng: random.Random,
+) -> Next | None:  # fmt: skip
+    """Whether a client goes again after a try ended so, with so much of its time left.
+
+    What is free, or keyed with repeats dropped anywhere, goes again after any failure; all else only where
+    trying again is harmless: refused, or nobody reached.
+    """
+    if end == SERVED or tries >= manners.tries:
+        return None
+    anyway = kind.effect == "free" or (kind.effect, kind.group) == ("keyed", "all")
+    if not anyway and end not in (REFUSED, UNREACHABLE):
+        return None
+    wait = manners.wait_s
+    if retry_after_s > 0 and rng.random() < manners.heeds:
+        wait = max(wait, retry_after_s)
+    return Next(wait) if wait < left_s else None
--- /dev/null
+++ b/quartzford/load/record.py
@@ -0,0 +1,143 @@
+"""What a run measured: HdrHistograms to 3 significant digits, counts, goodput by the second. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from quartzford.load.clients import SERVED, Kind
+
+LEAST_US, MOST_US, DIGITS = 1, 120_000_000, 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 99.99)
+WINDOW_S = 10
+
+
+def histogram() -> Any:
+    """Microseconds up to two minutes, to 3 significant digits."""
+    return HdrHistogram(LEAST_US, MOST_US, DIGITS)
+
+
+class Record:
+    """One worker's measurements, or several workers' merged.
+
+    latency: from the intended send of the first try to the request's end; service: from a try's bytes to its
+    end; late: from the intended send to the bytes. By class, in microseconds.
+    """
+
+    def __init__(self, kinds: Iterable[Kind]) -> None:
+        self.kinds = {kind.name: kind for kind in kinds}
+        self.latency: dict[str, Any] = {}
+        self.service: dict[str, Any] = {}
+        self.late = histogram()
+        self.ends: Counter[str] = Counter()  # "class end"
+        self.tries: Counter[str] = Counter()  # "end" of each try
+        self.counts: Counter[str] = Counter()
+        self.asked: dict[int, float] = {}  # second of the intended send: worth asked, worth within the aim
+        self.got: dict[int, float] = {}
+        self.by_class: dict[str, list[float]] = {}
+        self.by_tenant: dict[str, list[float]] = {}
+
+    def sent(self, late_s: float) -> None:
+        self.late.record_value(max(LEAST_US, min(MOST_US, round(late_s * 1e6))))
+
+    def tried(self, name: str, end: str, service_s: float) -> None:
+        self.tries[end] += 1
+        if end == SERVED:
+            self._into(self.service, name, service_s)
+
+    def ended(self, name: str, tenant: str, end: str, second: int, latency_s: float) -> None:
+        """A request has come to its end, whatever it is: each is counted once."""
+        self.ends[f"{name} {end}"] += 1
+        kind = self.kinds.get(name) or Kind(name)
+        worth = 0.0
+        if end == SERVED:
+            self._into(self.latency, name, latency_s)
+            if latency_s <= kind.aim_s:
+                worth = kind.worth
+            elif latency_s <= kind.deadline_s:
+                worth = kind.worth * kind.late_worth
+        self.asked[second] = self.asked.get(second, 0.0) + kind.worth
+        self.got[second] = self.got.get(second, 0.0) + worth
+        for table, key in ((self.by_class, name), (self.by_tenant, tenant)):
+            pair = table.setdefault(key, [0.0, 0.0])
+            pair[0] += kind.worth
+            pair[1] += worth
+
+    @staticmethod
+    def _into(table: dict[str, Any], name: str, seconds: float) -> None:
+        if name not in table:
+            table[name] = histogram()
+        table[name].record_value(max(LEAST_US, min(MOST_US, round(seconds * 1e6))))
+
+    # ---- between processes
+
+    def dump(self) -> dict[str, Any]:
+        """All of it, for JSON."""
+        return {
+            "latency": {name: h.encode().decode() for name, h in self.latency.items()},
+            "service": {name: h.encode().decode() for name, h in self.service.items()},
+            "late": self.late.encode().decode(),
+            "ends": dict(self.ends), "tries": dict(self.tries), "counts": dict(self.counts),
+            "asked": {str(s): v for s, v in self.asked.items()},
+            "got": {str(s): v for s, v in self.got.items()},
+            "by_class": self.by_class, "by_tenant": self.by_tenant,
+        }  # fmt: skip
+
+    def merge(self, dumped: dict[str, Any]) -> None:
+        """Another worker's, as dump() gave it."""
+        for mine, theirs in ((self.latency, dumped["latency"]), (self.service, dumped["service"])):
+            for name, text in theirs.items():
+                mine.setdefault(name, histogram()).decode_and_add(text)
+        self.late.decode_and_add(dumped["late"])
+        for counter, name in ((self.ends, "ends"), (self.tries, "tries"), (self.counts, "counts")):
+            counter.update(dumped[name])
+        for seconds, name in ((self.asked, "asked"), (self.got, "got")):
+            for second, value in dumped[name].items():
+                seconds[int(second)] = seconds.get(int(second), 0.0) + value
+        for table, name in ((self.by_class, "by_class"), (self.by_tenant, "by_tenant")):
+            for key, pair in dumped[name].items():
+                have = table.setdefault(key, [0.0, 0.0])
+                have[0] += pair[0]
+                have[1] += pair[1]
+
+    # ---- figures
+
+    def whole(self, table: dict[str, Any]) -> Any:
+        """The histograms of all classes in one."""
+        out = histogram()
+        for one in table.values():
+            out.add(one)
+        return out
+
+    def goodput(self) -> dict[str, float]:
+        """Worth within the aim over worth asked: whole, worst 10 s, worst class, worst tenant."""
+        asked, got = sum(self.asked.values()), sum(self.got.values())
+        windows = []
+        if self.asked:
+            first, last = min(self.asked), max(self.asked)
+            for start in range(first, max(first, last - WINDOW_S + 1) + 1):
+                span = range(start, start + WINDOW_S)
+                total = sum(self.asked.get(s, 0.0) for s in span)
+                if total > 0:
+                    windows.append(sum(self.got.get(s, 0.0) for s in span) / total)
+        shares = {
+            name: [pair[1] / pair[0] for pair in table.values() if pair[0] > 0]
+            for name, table in (("worst_class", self.by_class), ("worst_tenant", self.by_tenant))
+        }
+        return {
+            "whole": got / asked if asked else 0.0,
+            "worst_10s": min(windows, default=0.0),
+            **{name: min(values, default=0.0) for name, values in shares.items()},
+        }
+
+
+def figures(one: Any) -> dict[str, float]:
+    """A histogram's percentiles, mean and largest, in milliseconds."""
+    if not one.get_total_count():
+        return {}
+    out = {f"p{p:g}": one.get_value_at_percentile(p) / 1000.0 for p in PERCENTILES}
+    mean, most = one.get_mean_value() / 1000.0, one.get_max_value() / 1000.0
+    return out | {"mean": round(mean, 3), "max": most, "count": one.get_total_count()}
--- /dev/null
+++ b/tests/test_load_sockets.py
@@ -0,0 +1,249 @@
+"""The load generator over sockets: servers of known delay, frozen, silent; starvation and interruption."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from quartzford.load.clients import SINGLE, Kind, Manners
+from quartzford.load.driver import Driver, Target
+from quartzford.load.record import Record, figures
+from quartzford.load.run import Load, plan, play
+
+ROOT = Path(__file__).resolve().parent.parent
+ONE = (Kind("consulta", deadline_s=4.0, aim_s=1.0),)
+
+
+@contextmanager
+def server(spec: str) -> Iterator[tuple[Target, subprocess.Popen[bytes]]]:
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.delay", spec], cwd=ROOT, stdout=subprocess.PIPE
+    )
+    assert process.stdout is not None
+    try:
+        yield Target("127.0.0.1", int(process.stdout.readline())), process
+    finally:
+        process.kill()
+        process.wait()
+
+
+def driven(load: Load) -> Record:
+    """One worker, in this process."""
+
+    async def main() -> Record:
+        record = Record(load.kinds)
+        start = time.monotonic() + 0.05
+        await Driver(load.target, load.manners, plan(load, 0), start, load.seed, "t", record).run()
+        return record
+
+    return uvloop.run(main())
+
+
+@pytest.mark.parametrize(("spec", "p50", "p99"), [("constant:40", 40, 40), ("two:10,80,0.05", 10, 80)])
+def test_a_server_of_known_delay_is_measured_as_it_is(spec: str, p50: float, p99: float) -> None:
+    """Bounds wide enough for any machine; bench.loadgen holds the narrow ones."""
+    with server(spec) as (target, _):
+        record = driven(Load(target, "constant:200", 3.0, kinds=ONE, manners=SINGLE))
+    got = figures(record.whole(record.latency))
+    assert got["count"] > 450 and record.ends == {"consulta served": got["count"]}
+    assert p50 <= got["p50"] <= p50 * 1.5 + 5 and p99 <= got["p99"]
+
+
+def test_a_server_frozen_for_a_second_shows_in_all_that_was_due_then() -> None:
+    """What a closed loop hides: hundreds were due in that second, and each waited for the rest of it."""
+    with server("constant:2") as (target, process):
+        timers = [
+            threading.Timer(at, os.kill, (process.pid, number))
+            for at, number in ((1.0, signal.SIGSTOP), (2.0, signal.SIGCONT))
+        ]
+        for timer in timers:
+            timer.start()
+        record = driven(Load(target, "constant:300", 4.0, "fixed", kinds=ONE, manners=SINGLE))
+    whole = record.whole(record.latency)
+    assert sum(record.ends.values()) == 1200
+    half = sum(
+        item.count_added_in_this_iter_step
+        for item in whole.get_recorded_iterator()
+        if item.value_iterated_to > 500_000
+    )
+    assert 100 <= half <= 260 and whole.get_max_value() > 900_000
+
+
+def test_latency_counts_the_wait_for_a_connection_and_service_does_not() -> None:
+    with server("constant:20") as (target, _):
+        bounded = Target(target.host, target.port, connections=1)
+        record = driven(Load(bounded, "burst:100@0+0.3", 1.0, "fixed", kinds=ONE, manners=SINGLE))
+    latency, service = figures(record.whole(record.latency)), figures(record.whole(record.service))
+    assert latency["count"] >= 29 and latency["max"] > 250 > service["p50"] >= 20
+    assert figures(record.late)["max"] > 200  # its own bound: the generator says that it was late
+
+
+def test_a_server_that_never_answers_loses_no_request() -> None:
+    kinds = (Kind("cobro", deadline_s=0.4, effect="unsafe"),)
+    with server("never") as (target, _):
+        record = driven(Load(target, "constant:100", 1.0, "fixed", kinds=kinds, manners=Manners()))
+    assert record.ends == {"cobro no answer": 100} and record.tries == {"no answer": 100}
+    assert record.goodput()["whole"] == 0.0
+
+
+def test_nobody_there_is_tried_again_and_counted() -> None:
+    with server("none") as (target, process):
+        process.kill()
+        process.wait()
+        manners = Manners(tries=3, wait_s=0.01)
+        record = driven(Load(target, "constant:50", 0.5, "fixed", kinds=ONE, manners=manners))
+    assert record.ends == {"consulta unreachable": 25} and record.tries == {"unreachable": 75}
+
+
+def test_refused_clients_follow_the_time_to_come_back() -> None:
+    moments: list[float] = []
+
+    async def main() -> Record:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.readuntil(b"\r\n\r\n"):
+                moments.append(time.monotonic())
+                if len(moments) == 1:
+                    writer.write(b"HTTP/1.1 503 X\r\nRetry-After: 0.3\r\nContent-Length: 0\r\n\r\n")
+                else:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        load = Load(Target("127.0.0.1", port), "constant:4", 0.2, "fixed", kinds=ONE)
+        record = Record(ONE)
+        await Driver(load.target, Manners(), plan(load, 0), time.monotonic(), 1, "t", record).run()
+        listening.close()
+        return record
+
+    record = uvloop.run(main())
+    assert record.ends == {"consulta served": 1} and record.tries == {"refused": 1, "served": 1}
+    assert 0.28 <= moments[1] - moments[0] < 2.0
+    assert figures(record.whole(record.latency))["max"] >= 300  # from the first try's intended send
+
+
+def test_an_answer_to_nothing_is_counted() -> None:
+    async def main() -> Record:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            writer.write(answer)
+            await asyncio.sleep(0.1)
+            writer.write(answer)
+
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        load = Load(Target("127.0.0.1", port), "step:10@0.2+constant:1", 0.4, "fixed", kinds=ONE)
+        record = Record(ONE)
+        await Driver(load.target, SINGLE, plan(load, 0), time.monotonic(), 1, "t", record).run()
+        listening.close()
+        return record
+
+    assert uvloop.run(main()).counts["answered twice"] >= 1
+
+
+def test_workers_merge_into_one_result() -> None:
+    with server("constant:1") as (target, _):
+        result = play(Load(target, "constant:400", 1.5, workers=2, kinds=ONE, manners=SINGLE, late_ms=1e6))
+    assert result["ended"] == result["sent"] > 400 and len(result["cpu_s"]) == 2 and not result["trouble"]
+    assert result["latency_ms"]["all"]["count"] == result["ends"]["consulta served"]
+
+
+def test_what_is_due_in_the_warm_up_is_played_and_not_measured() -> None:
+    with server("none") as (target, _):
+        load = Load(target, "constant:100", 1.0, "fixed", kinds=ONE, manners=SINGLE, warm_s=0.5, late_ms=1e6)
+        result = play(load)
+    assert (result["sent"], result["warm_up"], result["ended"]) == (100, 50, 50)
+    assert result["latency_ms"]["all"]["count"] == result["lateness_ms"]["count"] == 50
+
+
+def test_a_worker_that_dies_is_said_to_have_given_no_result() -> None:
+    """Its plan breaks on the way: the others' records stand, and the run is not sound."""
+    with server("none") as (target, _):
+        broken = Load(target, "constant:100", 0.5, workers=1, kinds=(), manners=SINGLE)
+        result = play(broken)
+    assert result["trouble"] == ["1 workers gave no result"] and result["ended"] == 0
+
+
+def command(*arguments: str, **options: Any) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "quartzford", "load", *arguments], cwd=ROOT, stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE, **options,
+    )  # fmt: skip
+
+
+def test_interruption_prints_what_was_measured(tmp_path: Path) -> None:
+    with server("none") as (target, _):
+        path = tmp_path / "r.json"
+        process = command(
+            "--target", f"127.0.0.1:{target.port}", "--seconds", "60", "--json", str(path), "--late-ms", "1e6"
+        )
+        time.sleep(4.0)
+        process.send_signal(signal.SIGINT)
+        out, errors = process.communicate(timeout=30)
+    assert process.returncode == 130 and b"latency from the intended send" in out and not errors
+    result = json.loads(path.read_text())
+    assert result["interrupted"] and 0 < result["ended"] < 6000
+
+
+def test_descriptors_that_run_out_are_one_line_and_a_clean_end() -> None:
+    def few() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))
+
+    with server("never") as (target, _):
+        process = command(
+            "--target", f"127.0.0.1:{target.port}", "--seconds", "1", "--shape", "constant:200", "--mix",
+            "cobro=1", "--late-ms", "1e6", preexec_fn=few,
+        )  # fmt: skip
+        out, errors = process.communicate(timeout=60)
+    assert process.returncode == 3 and out.count(b"! out of descriptors or ports") == 1
+    assert b"Traceback" not in errors and b"cobro unreachable" in out
+
+
+@pytest.mark.parametrize(
+    ("arguments", "reason"),
+    [
+        (["--target", "nowhere"], b"--target"),
+        (["--shape", "wave:3"], b"no such shape"),
+        (["--mix", "a=b"], b"--mix"),
+        (["--patience", "0-5"], b"--patience"),
+        (["--trace", "/nonexistent"], b"--trace"),
+        (["compare", "one"], b"two results"),
+        (["compare", "/nonexistent", "/nonexistent"], b"compare: /nonexistent"),
+    ],
+)
+def test_what_cannot_be_done_is_one_line(arguments: list[str], reason: bytes) -> None:
+    process = command(*arguments)
+    out, errors = process.communicate(timeout=60)
+    assert process.returncode == 2 and reason in errors and errors.count(b"\n") == 1 and not out
+
+
+def test_a_trace_is_made_and_replayed_by_command(tmp_path: Path) -> None:
+    path, a = tmp_path / "t.trace", tmp_path / "a.json"
+    made = command("--shape", "constant:100", "--seconds", "2", "--make-trace", str(path))
+    assert made.wait(60) == 0
+    with server("none") as (target, _):
+        process = command(
+            "--target", f"127.0.0.1:{target.port}", "--trace", str(path), "--speed", "4", "--json", str(a),
+            "--late-ms", "1e6",
+        )  # fmt: skip
+        out, errors = process.communicate(timeout=60)
+    assert process.returncode == 0, (out, errors)
+    result = json.loads(a.read_text())
+    assert result["ended"] == len(path.read_text().splitlines()) - 2 and result["seconds"] < 2.0
+    compared = command("compare", str(a), str(a))
+    out, _ = compared.communicate(timeout=60)
+    assert compared.returncode == 0 and b"1.000" in out
