Load generator: says when it plays, and an interruption before that is one line too

The test of SIGINT waited a fixed time for the start; it now waits for the line, and Ctrl-C during the workers' start no longer ends in a traceback.

--- a/quartzford/load/cli.py
+++ b/quartzford/load/cli.py
@@ -161,7 +161,10 @@
             with open(options.make_trace, "w", encoding="utf-8") as file:
                 file.writelines(write_trace(rows_of(load)))
             return 0
-        result = play(load)
+        result = play(load, lambda: print("playing; Ctrl-C ends it", file=sys.stderr, flush=True))
+    except KeyboardInterrupt:
+        print("quartzford: interrupted before the first request", file=sys.stderr)
+        return 130
     except (AskError, OSError) as error:
         print(f"quartzford: {error}", file=sys.stderr)
         return 2
--- a/quartzford/load/run.py
+++ b/quartzford/load/run.py
@@ -8,7 +8,7 @@
 import random
 import resource
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from multiprocessing.connection import Connection, wait
 from time import monotonic
@@ -112,8 +112,8 @@
     uvloop.run(main())
 
 
-def play(load: Load) -> dict[str, Any]:
-    """Play it, and give the result; on SIGINT what was measured until then."""
+def play(load: Load, started: Callable[[], None] = lambda: None) -> dict[str, Any]:
+    """Play it, and give the result; on SIGINT what was measured. started: all workers were told."""
     context = mp.get_context("spawn")
     pipes: list[Connection] = []
     processes = []
@@ -132,6 +132,7 @@
         for pipe in pipes:
             pipe.send(start)
         try:
+            started()
             left = list(pipes)
             while left:
                 for ready in wait(left):
--- a/tests/test_load_sockets.py
+++ b/tests/test_load_sockets.py
@@ -191,7 +191,9 @@
         process = command(
             "--target", f"127.0.0.1:{target.port}", "--seconds", "60", "--json", str(path), "--late-ms", "1e6"
         )
-        time.sleep(4.0)
+        assert process.stderr is not None
+        assert process.stderr.readline().startswith(b"playing")
+        time.sleep(2.0)
         process.send_signal(signal.SIGINT)
         out, errors = process.communicate(timeout=30)
     assert process.returncode == 130 and b"latency from the intended send" in out and not errors
