Header values: one reader for all fronts and backends

Time left, cookies, figures and load reports were read by two copies each, in the HTTP path and in the external processor. quartzford/fields.py reads them for both.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import json
-import math
 import socket
 from collections import deque
 from typing import Any, NamedTuple, Protocol, cast
@@ -15,6 +13,7 @@
 from quartzford import engine
 from quartzford import interface as io
 from quartzford.engine import Budget, Clock, Engine, Handle
+from quartzford.fields import read_report
 from quartzford.membership.listing import Listing
 
 TICK_S = 0.001  # what the loop's timers are exact to
@@ -31,16 +30,6 @@
 )
 
 
-def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report's values in the settings' order; empty when it is malformed."""
-    try:
-        table = json.loads(text)
-        values = tuple(float(table[name]) for name in names)
-    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
-        return ()  # whatever its bytes, a report must never spoil the answer that carries it
-    return values if all(0 <= v < math.inf for v in values) else ()
-
-
 class Answer(NamedTuple):
     """A whole 200 answer: its fields as they go on, and its body in pieces."""
 
--- /dev/null
+++ b/quartzford/fields.py
@@ -0,0 +1,43 @@
+"""Header values in the platform's forms, read the same by every front and backend."""
+
+from __future__ import annotations
+
+import json
+import math
+
+
+def read_time_left(text: str) -> float | None:
+    """X-Time-Left ("480m", "250000u") in milliseconds; None when it can't be read."""
+    try:
+        value = float(text[:-1]) * {"m": 1.0, "u": 0.001}[text[-1:]]
+    except (ValueError, KeyError):
+        return None
+    return value if 0 <= value < 1e9 else None
+
+
+def read_cookie(text: str, name: str) -> str:
+    """The value of one cookie; "" where it is not named."""
+    for part in text.split(";"):
+        key, _, value = part.strip().partition("=")
+        if key == name:
+            return value
+    return ""
+
+
+def read_number(text: str) -> float:
+    """A figure of 0 or more; 0 when it can't be read."""
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if 0 <= value < 1e12 else 0.0
+
+
+def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
+    """The load report's values in the settings' order; empty when it is malformed."""
+    try:
+        table = json.loads(text)
+        values = tuple(float(table[name]) for name in names)
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
+        return ()  # whatever its bytes, a report must never spoil the answer that carries it
+    return values if all(0 <= v < math.inf for v in values) else ()
--- a/quartzford/fronts/extproc/messages.py
+++ b/quartzford/fronts/extproc/messages.py
@@ -13,6 +13,7 @@
 from envoy.extensions.filters.http.ext_proc.v3 import processing_mode_pb2 as mode
 from envoy.service.ext_proc.v3 import external_processor_pb2 as proto
 
+from quartzford.fields import read_cookie, read_number, read_time_left
 from quartzford.fronts.extproc.desk import Again, Ask, Failed, Opened, Passed, Refused, Reply, Told
 from quartzford.fronts.extproc.outcome import Result, read_result
 
@@ -73,10 +74,11 @@
         identity = read.get("identity", "").strip()
         if not identity:
             return 400
+        left = read_time_left(read.get("left", "").strip())
         return Ask(
             identity,
             read.get("service_class", "") or self.names.default_class,
-            read_time_left(read.get("left", "").strip()),
+            -1.0 if left is None else left,
             read.get("tenant", ""),
             read_cookie(read.get("cookie", ""), self.names.cookie),
             read_number(read.get("hint", "")) / 1000.0,
@@ -210,28 +212,3 @@
     """Envoy fills raw_value or value, by a runtime flag; bytes that are no UTF-8 are kept apart."""
     raw: bytes = row.raw_value
     return raw.decode("utf-8", "surrogateescape") if raw else str(row.value)
-
-
-def read_time_left(text: str) -> float:
-    """Milliseconds; -1 where there is none or it can't be read."""
-    try:
-        value = float(text[:-1]) * {"m": 1.0, "u": 0.001}[text[-1:]]
-    except (ValueError, KeyError):
-        return -1.0
-    return value if 0 <= value < 1e9 else -1.0
-
-
-def read_cookie(text: str, name: str) -> str:
-    for part in text.split(";"):
-        key, _, value = part.strip().partition("=")
-        if key == name:
-            return value
-    return ""
-
-
-def read_number(text: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        return 0.0
-    return value if 0 <= value < 1e12 else 0.0
--- a/quartzford/fronts/extproc/outcome.py
+++ b/quartzford/fronts/extproc/outcome.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
-import math
 from typing import NamedTuple
 
+from quartzford.fields import read_report
+
 # What Envoy puts into response.code_details where it answered itself (its page "Response code details").
 # Only what surely wrote no byte of the request to an upstream proves that it did not run.
 NEVER_SENT = (
@@ -47,13 +47,3 @@
     if status in (503, 504) and unprocessed:
         return Result("full", report)
     return Result("error", report, 400 <= status < 500 and status not in (408, 429))
-
-
-def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report's values in the settings' order; empty when it can't be read."""
-    try:
-        table = json.loads(text)
-        values = tuple(float(table[name]) for name in names)
-    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
-        return ()
-    return values if all(0 <= v < math.inf for v in values) else ()
--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -14,6 +14,7 @@
 
 from quartzford import interface as io
 from quartzford.engine import Backend, Budget, Call, Clock, Engine
+from quartzford.fields import read_cookie, read_number, read_time_left
 
 HEAD_BYTES = 32 * 1024
 BODY_BYTES = 32 * 1024 * 1024
@@ -58,31 +59,6 @@
 RESET = struct.pack("ii", 1, 0)
 
 
-def read_time_left(text: str) -> float | None:
-    """X-Time-Left in milliseconds; None when it can't be read."""
-    try:
-        value = float(text[:-1]) * {"m": 1.0, "u": 0.001}[text[-1:]]
-    except (ValueError, KeyError):
-        return None
-    return value if 0 <= value < 1e9 else None
-
-
-def read_cookie(text: str, name: str) -> str:
-    for part in text.split(";"):
-        key, _, value = part.strip().partition("=")
-        if key == name:
-            return value
-    return ""
-
-
-def read_number(text: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        return 0.0
-    return value if 0 <= value < 1e12 else 0.0
-
-
 class Whole(Protocol):
     """A backend's whole answer."""
 
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -12,8 +12,8 @@
 from peers import Message, Script, World, read_message, reply, request, run, says, silent, until
 
 from quartzford import interface as io
-from quartzford.backends.http1 import read_report
 from quartzford.config import REPORT_NAMES
+from quartzford.fields import read_report
 
 LONG = 300_000
 
