--- a/bench/common.py
+++ b/bench/common.py
@@ -2,13 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import multiprocessing as mp
 import os
+import random
 import socket
-from collections.abc import Sequence
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from multiprocessing.connection import Connection
 from pathlib import Path
 from typing import Any
 
+import uvloop
+
+from standins.nodo import Books, Nodo, fleet
+
 ROOT = Path(__file__).resolve().parent.parent
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -78,6 +91,52 @@
     }  # fmt: skip
 
 
+async def _fleet(nodos: int, pipe: Connection) -> None:
+    def make(number: int, books: Books) -> Nodo:
+        return Nodo(f"s{number}", books, capacity=1e6, latency_s=0.0005, rng=random.Random(number))
+
+    _, _, registry = await fleet(nodos, make)
+    pipe.send((registry.port, registry.whole()))
+    await asyncio.get_running_loop().run_in_executor(None, pipe.recv)
+
+
+def _fleet_main(nodos: int, pipe: Connection) -> None:
+    uvloop.run(_fleet(nodos, pipe))
+
+
+@contextmanager
+def sound_fleet(nodos: int) -> Iterator[tuple[int, Any]]:
+    """So many nodos without trouble, in a process of their own: their padron's port, and its list."""
+    context = mp.get_context("spawn")
+    ours, theirs = context.Pipe()
+    process = context.Process(target=_fleet_main, args=(nodos, theirs), daemon=True)
+    process.start()
+    try:
+        yield ours.recv()
+    finally:
+        ours.send("stop")
+        process.join(5)
+
+
+@contextmanager
+def platform_run(checkout: Path, discovery: int, known: Any) -> Iterator[tuple[int, int]]:
+    """The platform's run of a checkout, ready: the port for clients, and its process id."""
+    port = free_port()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(config(port, discovery, known)))
+        running = subprocess.Popen(
+            [sys.executable, "-m", "quartzford"], cwd=checkout, stderr=subprocess.DEVNULL,
+            env={**os.environ, "EDGE_CONFIG": str(path)},
+        )  # fmt: skip
+        try:
+            time.sleep(1.5)
+            yield port, running.pid
+        finally:
+            running.terminate()
+            running.wait(20)
+
+
 def report(result: dict[str, Any], path: str | None) -> None:
     if path:
         Path(path).write_text(json.dumps(result, indent=1) + "\n")
