External processor: what a second reading found in its intake, its stop and its tests

- The order of work is a module of its own without I/O (intake.py), with a property test.
It lived in the line's protocol class, where a stream that was known and dropped with an ask still waiting came back to life.
- A worker that came up while all stopped was never told, and took requests after GOAWAY: it now hears at once, and the start waits until all workers are up.
- A token on an opening stream is answered 400: only a client can have written it.
- EDGE_CONFIG is seen from the working directory, not from the operator's file.
- Tests that could not fail now can: the load report that reaches the module, streams after GOAWAY, a caller that retries by itself (its mode had no test), which modules import no I/O.

--- a/quartzford/fronts/extproc/desk.py
+++ b/quartzford/fronts/extproc/desk.py
@@ -303,6 +303,10 @@
     def ask(self, stream: Stream, ask: Ask, at: float = math.inf) -> None:
         """A request's headers came at this moment (or now); one reply follows, unless the stream ends."""
         at = min(at, self.clock.now())
+        if ask.token and ask.opens:
+            # Only a client can have written it: whoever opens a request has no token yet.
+            self.engine.counts["token forged"] += 1
+            return stream.say(Failed(400))
         if ask.token:
             return self._next_attempt(stream, ask)
         past = self.past.get(ask.identity)
--- /dev/null
+++ b/quartzford/fronts/extproc/intake.py
@@ -0,0 +1,67 @@
+"""The order in which the deciding process looks at what waits for it. No I/O.
+
+A bound on this process alone, as others have one on connections or bytes: what it can't look at in time the
+desk turns away, unread. What is looked at, the decision module judges. Ends (reports, drops) go before asks,
+since each frees something; asks go by their class's worth, oldest first: a lack of time costs the least.
+No stream asks after its drop: their numbers are never used again on a line.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+Message = list[Any]  # as on the line: ["ask", stream, at, identity, class, ...], ["drop", stream], ...
+
+
+class Intake:
+    """What waits. worth: of a class by its name."""
+
+    def __init__(self, worth: Callable[[str], float]) -> None:
+        self.worth = worth
+        self.ends: deque[Message] = deque()
+        self.asks: dict[float, deque[Message]] = {}
+        self.waiting: dict[int, int] = {}  # asks by stream
+        self.count = 0  # of the asks
+        self.gone: set[int] = set()  # streams that ended while their ask waited
+
+    def __len__(self) -> int:
+        return len(self.ends) + self.count
+
+    def put(self, message: Message) -> None:
+        if message[0] != "ask":
+            return self.ends.append(message)
+        stream = message[1]
+        self.waiting[stream] = self.waiting.get(stream, 0) + 1
+        self.count += 1
+        self.asks.setdefault(self.worth(message[4]), deque()).append(message)
+
+    def next(self) -> Message | None:
+        """What is to be looked at now; None if nothing is left."""
+        while len(self):
+            message = self._pop()
+            stream = message[1]
+            if message[0] == "drop" and stream in self.waiting:
+                self.gone.add(stream)
+            if message[0] == "ask" and stream in self.gone:
+                if stream not in self.waiting:
+                    self.gone.discard(stream)
+                continue
+            return message
+        return None
+
+    def _pop(self) -> Message:
+        if self.ends:
+            return self.ends.popleft()
+        worth = max(worth for worth, queue in self.asks.items() if queue)
+        message = self.asks[worth].popleft()
+        if not self.asks[worth]:
+            del self.asks[worth]
+        self.count -= 1
+        left = self.waiting[message[1]] - 1
+        if left:
+            self.waiting[message[1]] = left
+        else:
+            del self.waiting[message[1]]
+        return message
--- a/quartzford/fronts/extproc/line.py
+++ b/quartzford/fronts/extproc/line.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import json
-from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -28,6 +27,7 @@
     Stream,
     Told,
 )  # fmt: skip
+from quartzford.fronts.extproc.intake import Intake
 from quartzford.fronts.extproc.outcome import Result
 
 REPLIES: dict[str, type[Any]] = {
@@ -75,22 +75,18 @@
 class DeskLine(Lines):
     """The deciding process's end.
 
-    What waits here is worked off in short turns: ends before asks, and asks by their class's worth. An
-    overload of this process must delay neither the news of a drain nor the end of what is out, and costs the
-    least worth first; an ask that waited too long is turned away by the desk.
+    What waits here is worked off in short turns, in the order that `Intake` gives: an overload of this
+    process must delay neither the news of a drain nor the end of what is out.
     """
 
     def __init__(
-        self, desk: Desk, log: Log, lines: set[DeskLine], greeting: Callable[[], tuple[dict[str, Any], float]]
+        self, desk: Desk, log: Log, lines: set[DeskLine], greeting: Callable[[], tuple[Any, ...]]
     ) -> None:
         super().__init__()
         self.desk, self.log, self.lines, self.greeting = desk, log, lines, greeting
         self.streams: dict[int, Stream] = {}
         self.port = 0
-        self.ends: deque[list[Any]] = deque()
-        self.asks: dict[float, deque[list[Any]]] = {}  # by worth
-        self.waiting = 0
-        self.early: set[int] = set()  # streams that ended before their ask was looked at
+        self.intake = Intake(self._worth)
         self.working = self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -99,27 +95,23 @@
         self.configure()
 
     def configure(self) -> None:
-        self.send("names", *self.greeting())
+        self.send(*self.greeting())
 
     def connection_lost(self, error: Exception | None) -> None:
         self.lines.discard(self)
         streams, self.streams = self.streams, {}
-        self.ends.clear()
-        self.asks.clear()
-        self.waiting = 0
+        self.intake = Intake(self._worth)
         for stream in streams.values():
             self.desk.drop(stream)
 
+    def _worth(self, name: str) -> float:
+        kind = self.desk.engine.classes.get(name)
+        return kind.worth if kind is not None else 0.0
+
     def lines_in(self, messages: list[list[Any]]) -> None:
-        classes = self.desk.engine.classes
         for message in messages:
-            if message[0] != "ask":
-                self.ends.append(message)
-                continue
-            kind = classes.get(message[4])
-            self.asks.setdefault(kind.worth if kind is not None else 0.0, deque()).append(message)
-            self.waiting += 1
-        if not self.paused and self.waiting > QUEUE:
+            self.intake.put(message)
+        if not self.paused and len(self.intake) > QUEUE:
             self.paused = True
             self.transport.pause_reading()
         if not self.working:
@@ -128,13 +120,13 @@
     def _work(self) -> None:
         now = self.desk.clock.now
         end = now() + TURN_S
-        while (self.ends or self.waiting) and now() < end:
+        while now() < end and (message := self.intake.next()) is not None:
             try:
-                self._line(self._next())
+                self._line(message)
             except Exception:
                 self.log.trouble("line")
         self._flush()
-        self.working = bool(self.ends or self.waiting)
+        self.working = bool(len(self.intake))
         if self.working:
             self.loop.call_soon(self._work)
         elif self.paused:
@@ -142,18 +134,9 @@
             if not self.transport.is_closing():
                 self.transport.resume_reading()
 
-    def _next(self) -> list[Any]:
-        if self.ends:
-            return self.ends.popleft()
-        worth = max(worth for worth, queue in self.asks.items() if queue)
-        self.waiting -= 1
-        return self.asks[worth].popleft()
-
     def _line(self, message: list[Any]) -> None:
         what, number = message[0], message[1]
         if what == "ask":
-            if number in self.early:
-                return self.early.discard(number)
             stream = self.streams.get(number) or self._stream(number)
             self.desk.ask(stream, Ask(*message[3:]), message[2])
         elif what == "report":
@@ -163,16 +146,9 @@
             gone = self.streams.pop(number, None)
             if gone is not None:
                 self.desk.drop(gone)
-            elif self.waiting:
-                self._never_asked(number)
         elif what == "bound":
             self.port = number
 
-    def _never_asked(self, number: int) -> None:
-        """A stream has ended whose ask, if it made one, still waits."""
-        if any(message[1] == number for queue in self.asks.values() for message in queue):
-            self.early.add(number)
-
     def _stream(self, number: int) -> Stream:
         def reply(said: Reply) -> None:
             self.send(type(said).__name__, number, *said)
--- a/quartzford/fronts/extproc/server.py
+++ b/quartzford/fronts/extproc/server.py
@@ -27,7 +27,7 @@
 STREAM_SPARE_S = 2.0  # a stream lives for the longest deadline and so much more, whatever its caller does
 SWEEP_S = 0.25
 # gRPC status codes
-OK, CANCELLED, INVALID_ARGUMENT, DEADLINE_EXCEEDED, EXHAUSTED, UNIMPLEMENTED = 0, 1, 3, 4, 8, 12
+OK, INVALID_ARGUMENT, DEADLINE_EXCEEDED, EXHAUSTED, UNIMPLEMENTED = 0, 3, 4, 8, 12
 ANSWER = http2.block(((b":status", b"200"), (b"content-type", b"application/grpc")))
 DONE = http2.block(((b"grpc-status", b"0"),))
 
--- a/quartzford/fronts/extproc/service.py
+++ b/quartzford/fronts/extproc/service.py
@@ -20,6 +20,7 @@
 
 RESTART_S = (0.1, 5.0)  # from a worker's death to its successor, doubling while it dies at once
 QUIET_S = 0.02
+START_S = 10.0  # for all workers to be up; after it those that are serve
 
 
 def token_key(path: str) -> bytes:
@@ -88,6 +89,11 @@
                 self.port = await self._bound()
         if not self.port:
             self.port = int(port)
+        limit = self.clock.now() + START_S
+        while sum(bool(line.port) for line in self.lines) < self.settings.workers:
+            if self.clock.now() > limit:
+                return self.log.line("extproc", "not all workers are up yet")
+            await asyncio.sleep(QUIET_S)
 
     async def _bound(self) -> int:
         while True:
@@ -96,8 +102,9 @@
                     return line.port
             await asyncio.sleep(QUIET_S)
 
-    def _greeting(self) -> tuple[dict[str, Any], float]:
-        return asdict(self.names), self.longest_s
+    def _greeting(self) -> tuple[Any, ...]:
+        """The names in force; to a worker that comes up while all stop, that it is to stop too."""
+        return ("stop",) if self.stopping else ("names", asdict(self.names), self.longest_s)
 
     async def _keep(self, number: int, path: str, address: str) -> None:
         """A worker, and its successors: what a dead one's callers had been told of stays with the desk."""
--- a/quartzford/fronts/extproc/worker.py
+++ b/quartzford/fronts/extproc/worker.py
@@ -30,7 +30,10 @@
     _, line = await loop.create_unix_connection(
         lambda: WorkerLine(told.put_nowait, lost.set, clock.now), path
     )
-    _, table, longest_s = await told.get()
+    greeting = await told.get()
+    if greeting[0] == "stop":
+        return
+    _, table, longest_s = greeting
     processor = Processor(line, names_of(table), longest_s, most_streams, clock, StderrLog(clock.now))
     line.send("bound", await processor.listen(address))
     ending = loop.create_task(lost.wait())
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -15,8 +15,10 @@
 
 def config_path(operator: OperatorSettings, path: str) -> str:
     """The platform-form file: EDGE_CONFIG, or what the operator's file names, seen from where that lies."""
-    named = os.environ.get("EDGE_CONFIG") or operator.config
-    return str(Path(path).parent / named) if named else ""
+    set_outside = os.environ.get("EDGE_CONFIG")
+    if set_outside:
+        return set_outside
+    return str(Path(path).parent / operator.config) if operator.config else ""
 
 
 class Service:
--- a/tests/test_extproc_line.py
+++ b/tests/test_extproc_line.py
@@ -7,10 +7,13 @@
 from typing import Any
 
 import uvloop
-from helpers import settings
+from hypothesis import given
+from hypothesis import settings as budget
+from hypothesis import strategies as st
 from test_extproc_desk import World
 
 from quartzford.fronts.extproc.desk import Ask
+from quartzford.fronts.extproc.intake import Intake
 from quartzford.fronts.extproc.line import DeskLine
 
 
@@ -45,7 +48,7 @@
 def on_loop(test: Any) -> None:
     async def main() -> None:
         world = World()
-        line = DeskLine(world.desk, world.log, set(), lambda: ({}, 1.0))
+        line = DeskLine(world.desk, world.log, set(), lambda: ("names", {}, 1.0))
         pipe = Pipe()
         line.connection_made(pipe)  # type: ignore[arg-type]
         await asyncio.sleep(0)
@@ -90,11 +93,62 @@
         line.data_received(up(ask(1, world.clock.at, "pay"), ["drop", 1], ["drop", 9]))
         line._work()
         await asyncio.sleep(0)
-        assert not pipe.written and not world.engine.calls and not line.early and not line.streams
+        assert not pipe.written and not world.engine.calls and not line.intake.gone and not line.streams
 
     on_loop(test)
 
 
+def test_a_drop_takes_all_asks_of_its_stream_that_wait() -> None:
+    """A stream that was known and asked again once came back to life, and was never dropped."""
+
+    async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
+        now = world.clock.at
+        line.data_received(up(ask(1, now, "pay")))
+        line.data_received(up(["report", 1, "ok", [], False]))
+        line.working = True
+        line.data_received(up(ask(1, now, "pay", "c5"), ask(1, now, "read", "c6"), ["drop", 1]))
+        line._work()
+        await asyncio.sleep(0)
+        assert len(pipe.written) == 2 and not line.streams and not world.desk.flights
+        assert not len(line.intake) and not line.intake.gone and not line.intake.waiting
+
+    on_loop(test)
+
+
+@given(st.lists(st.tuples(st.sampled_from(("ask", "report", "drop", "next")), st.integers(1, 4),
+                          st.sampled_from(("a", "b", "c"))), max_size=60))  # fmt: skip
+@budget(max_examples=300, deadline=None, derandomize=True, database=None)
+def test_intake_gives_each_message_once_in_its_order(steps: list[Any]) -> None:
+    worth = {"a": 1.0, "b": 5.0, "c": 10.0}
+    intake, put, got = Intake(worth.__getitem__), [], []
+    dropped: set[int] = set()
+    for number, (what, stream, name) in enumerate([*steps, *[("next", 0, "a")] * 70]):
+        if what != "next":
+            if stream in dropped:
+                continue
+            if what == "drop":
+                dropped.add(stream)
+            put.append([what, stream, number, "id", name])
+            intake.put(put[-1])
+            continue
+        before = list(intake.ends), {w: list(q) for w, q in intake.asks.items()}
+        message = intake.next()
+        if message is None:
+            continue
+        got.append(message)
+        if message[0] == "ask":
+            assert not before[0], "an ask went before an end"
+            higher = [m for w, q in before[1].items() if w > worth[message[4]] for m in q]
+            assert all(m[1] in intake.gone or m[1] in dropped for m in higher), "not by worth"
+    assert not len(intake) and not intake.gone and not intake.waiting
+    ends = [m for m in put if m[0] != "ask"]
+    assert [m for m in got if m[0] != "ask"] == ends, "an end was lost, or out of order"
+    for message in put:
+        if message[0] == "ask" and message not in got:
+            later = [m for m in put if m[0] == "drop" and m[1] == message[1] and m[2] > message[2]]
+            assert later, "an ask was lost whose stream was not dropped"
+
+
 def test_an_overload_stops_reading_and_turns_away_what_waited() -> None:
     async def test(world: World, line: DeskLine, pipe: Pipe) -> None:
         line.working = True
@@ -120,6 +174,6 @@
         line.connection_lost(None)
         world.clock.pass_time(1.0)
         assert not world.desk.flights and world.engine.counts["client gone"] == 2
-        assert settings().balancers == 1
+        assert world.desk.past["c1"].harmless is False
 
     on_loop(test)
--- a/tests/test_extproc_process.py
+++ b/tests/test_extproc_process.py
@@ -11,12 +11,14 @@
 from pathlib import Path
 from typing import Any
 
+import grpc
 import pytest
 import uvloop
 from extproc_site import Raw, Site, rows_of, status_of
 from peers import SETTINGS, run, until
 
 from quartzford.operatorfile import ExtprocSettings, OperatorError, read_operator, takes_restart
+from quartzford.serve import config_path
 from standins.caller import CallerProxy, Policy
 from standins.nodo import Nodo, fleet
 
@@ -122,6 +124,10 @@
                 assert status_of(await raw.ask(rows_of(f"c{number}", left_s=2.9))) == 0
             it.process.send_signal(signal.SIGTERM)
             await asyncio.sleep(0.3)
+            late = Raw(caller)  # nothing new is taken: the caller is to ask another balancer
+            with pytest.raises((grpc.aio.AioRpcError, asyncio.InvalidStateError)):
+                reply = await late.ask(rows_of("late"))
+                raise AssertionError(f"taken after GOAWAY: {reply}")
             for raw in raws:  # GOAWAY has come: what is open finishes on its connection
                 assert status_of(await raw.report(200)) == 0
                 await raw.call.done_writing()
@@ -203,6 +209,15 @@
     assert takes_restart(one, read_operator("")) == "extproc"
 
 
+def test_the_variable_goes_before_the_file_and_is_seen_from_here(monkeypatch: pytest.MonkeyPatch) -> None:
+    settings = read_operator('config = "balancer.json"')
+    monkeypatch.setenv("EDGE_CONFIG", "here/c.json")
+    assert config_path(settings, "/etc/q/operator.toml") == "here/c.json"
+    monkeypatch.delenv("EDGE_CONFIG")
+    assert config_path(settings, "/etc/q/operator.toml") == "/etc/q/balancer.json"
+    assert config_path(read_operator(""), "/etc/q/operator.toml") == ""
+
+
 @pytest.mark.parametrize(("text", "code"), [(GOOD, 0), (GOOD + "x = 1", 2)])
 def test_the_check_command(tmp_path: Path, text: str, code: int) -> None:
     async def test() -> None:
--- a/tests/test_extproc_streams.py
+++ b/tests/test_extproc_streams.py
@@ -14,6 +14,7 @@
 from extproc_site import Raw, Site, rows_of, status_of
 from peers import SETTINGS, run, until
 
+from quartzford import interface as io
 from quartzford.fronts.extproc.token import Tokens
 from quartzford.protocols import http2
 from standins.caller import PROCESS, STAGES, Headers
@@ -22,13 +23,21 @@
 @run
 async def test_a_request_goes_where_the_module_says_and_its_report_stays_here() -> None:
     async with Site() as site:
-        caller = site.caller()
+        caller, heard, handle = site.caller(), [], site.node.engine.balancer.handle
+
+        def watched(now: float, event: io.Event) -> list[io.Action]:
+            if isinstance(event, io.Outcome):
+                heard.append(event.report)
+            return handle(now, event)
+
+        site.node.engine.balancer.handle = watched  # type: ignore[method-assign]
         for name in ("read", "book", "pay"):
             done = await site.ask(caller, name)
             assert done.statuses == [200] and len(done.attempts) == 1 and not done.why
             assert site.runs(done.identity) == 1
         assert site.node.engine.counts["ok"] == 3 and not site.node.engine.calls
-        assert any(s.report > 0 or s.cost is not None for s in site.node.engine.balancer.servers.values())
+        # The nodos say queue 0 and util 0.5; the module is told, in the order of the settings.
+        assert heard == [(0.0, 0.5)] * 3
 
 
 @pytest.mark.parametrize("opener", [False, True])
@@ -220,6 +229,23 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize(("name", "runs"), [("pay", 1), ("read", 2)])
+def test_a_caller_that_retries_by_itself_on_a_reset_is_held_to_the_rules(name: str, runs: int) -> None:
+    """Against what its operators are asked: it sends again unbidden, with the token, and reports nothing."""
+
+    async def test() -> None:
+        async with Site(3) as site:
+            for nodo in site.nodos:
+                nodo.mode = "garble"
+            caller = site.caller(hostile=True, retries=1)
+            done = await site.ask(caller, name)
+            assert site.runs(done.identity) == len(done.attempts) == runs and len(done.statuses) == 1
+            assert done.statuses == [502] if name == "pay" else done.statuses[0] >= 500
+            assert not site.books.overlapping
+
+    uvloop.run(test())
+
+
 @pytest.mark.parametrize("connections", [1, 2])
 def test_the_same_id_on_two_streams_is_one_request(connections: int) -> None:
     async def test() -> None:
@@ -264,6 +290,8 @@
                   ("x-envoy-upstream-rq-timeout-ms", "1"))  # fmt: skip
         done = await site.ask(site.caller(), "pay", extra=forged)
         assert done.statuses == [200] and done.attempts[0].address != "127.0.0.1:9"
+        brought = Raw(site.caller(), opens=True)  # whoever opens a request has no token yet
+        assert status_of(await brought.ask(rows_of("c7", "pay", ("x-quartzford-token", "x")))) == 400
         raw = Raw(site.caller(), opens=True)
         await raw.ask(rows_of("c8", "pay", *forged))
         assert raw.address() == "" and raw.token()[1]
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,7 +8,7 @@
 
 from peers import read_message, run, until
 
-from standins.nodo import Books, Nodo, Registry, Run, fleet
+from standins.nodo import Books, Nodo, Run, fleet
 
 
 def asked(identity: str) -> bytes:
@@ -96,4 +96,3 @@
     for runs, found in cases:
         books: Any = Books(runs=runs)
         assert books.effects_twice("reserva", 2.0) == found
-    assert isinstance(Registry([]).whole()["hosts"], list)
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -56,6 +56,24 @@
         assert not named & {"socket", "ssl", "httptools", "random"}, path.name
 
 
+def test_heavy_libraries_stay_with_the_part_that_needs_them() -> None:
+    for path in PACKAGE.rglob("*.py"):
+        tops = {name.split(".")[0] for name in imports(path)}
+        inside = path.is_relative_to(PACKAGE / "fronts" / "extproc")
+        assert inside or not tops & HEAVY, path.name
+        assert path.is_relative_to(PACKAGE / "load") or "hdrh" not in tops, path.name
+
+
+def test_modules_that_decide_do_no_io() -> None:
+    """Imports alone: a clock, a socket or a draw of their own would be named here."""
+    pure = ("logic.py", "interface.py", "backends/caller.py", "protocols/http2.py", "load/shapes.py",
+            "load/clients.py", "load/trace.py", "load/record.py",
+            *(f"fronts/extproc/{n}.py" for n in ("desk", "intake", "outcome", "token")))  # fmt: skip
+    for name in pure:
+        tops = {n.split(".")[0] for n in imports(PACKAGE / name)}
+        assert not tops & {"asyncio", "socket", "time", "os", "ssl", "uvloop", "subprocess"}, name
+
+
 def test_fronts_and_backends_do_not_know_each_other() -> None:
     for side, other in (("fronts", "backends"), ("backends", "fronts")):
         for path in (PACKAGE / side).rglob("*.py"):
