External processor: a decision ends, at the worker and at callers that keep to it

On starved cores sends broke the drain rule by up to a second, and the books did not tell whose delay it was. A decision now stands for decision_valid_ms (150): a worker that has it later gives it back unwritten, and x-quartzford-within tells callers, on their own clock, until when to send. A stream that ends before its decision was written ran nothing.

--- a/quartzford/backends/caller.py
+++ b/quartzford/backends/caller.py
@@ -41,7 +41,7 @@
 
 
 class CallerBackend:
-    """The servers that callers may be sent to. valid_s: for how long a decision may wait to be claimed."""
+    """The servers that callers may be sent to. valid_s: for how long a decision stands, claimed or not."""
 
     def __init__(self, core: Engine, clock: Clock, valid_s: float) -> None:
         self.engine, self.clock, self.valid_s = core, clock, valid_s
@@ -77,6 +77,11 @@
         self.state = State.DECIDED
         self.timer: Handle | None = None
 
+    @property
+    def stands_until(self) -> float:
+        """The decision is neither told, written nor (by a caller that keeps to it) sent after this."""
+        return self.sent + self.backend.valid_s
+
     def start(self) -> None:
         self.timer = self.backend.clock.call_later(self.due - self.sent, self.fail, "moot")
         self.call.decided(self)
@@ -90,7 +95,7 @@
             return False
         now = self.backend.clock.now()
         same = self.host is not None and self.backend.hosts.get(self.server) == self.host
-        if not same or now - self.sent > self.backend.valid_s or not self.backend.engine.stands(self):
+        if not same or now > self.stands_until or not self.backend.engine.stands(self):
             self.fail("moot")
             return False
         self.state = State.TOLD
@@ -115,6 +120,11 @@
     def lost(self) -> bool:
         return self.state is State.LOST
 
+    def recall(self) -> None:
+        """What was told never left this machine: the attempt stands as if nobody had claimed it."""
+        if self.state is State.TOLD:
+            self.state = State.DECIDED
+
     def fail(self, code: str) -> None:
         """End it with this outcome; one that a caller was told of is never said not to have run."""
         if self.state is State.OVER:
--- a/quartzford/fronts/extproc/desk.py
+++ b/quartzford/fronts/extproc/desk.py
@@ -17,7 +17,7 @@
 from quartzford.fronts.extproc.outcome import Result
 from quartzford.fronts.extproc.token import Fault, Tokens
 
-PROOF = ("full", "connect_failed")  # reports that prove that the attempt never ran
+PROOF = ("full", "connect_failed", "moot")  # reports that prove that the attempt never ran
 ENDED_AT_MOST = 65_536
 ENDED_S = 1.0  # an ended flight is remembered for so much longer than its client's time
 
@@ -38,11 +38,17 @@
 
 
 class Told(NamedTuple):
-    """Send it there, now; give the attempt up after time_out_ms, and tell the server left_ms."""
+    """Send it there, now; give the attempt up after time_out_ms, and tell the server as much.
+
+    by: the end of the decision's validity, on the machine's monotonic clock, in seconds: who has not written
+    it by then gives it back (Desk.late). within_ms: the same for a caller on any clock, counted from its ask.
+    """
 
     address: str
     token: str
     time_out_ms: float
+    within_ms: float
+    by: float
 
 
 class Opened(NamedTuple):
@@ -90,6 +96,9 @@
     number: int
     due: float
 
+    @property
+    def stands_until(self) -> float: ...
+
     @property
     def host(self) -> Address | None: ...
 
@@ -101,6 +110,8 @@
 
     def lost(self) -> bool: ...
 
+    def recall(self) -> None: ...
+
     def fail(self, code: str) -> None: ...
 
 
@@ -112,13 +123,14 @@
 class Stream:
     """One stream of a caller. reply is called once for each ask and report, and for a Cut."""
 
-    __slots__ = ("reply", "flight", "attempt", "over")
+    __slots__ = ("reply", "flight", "attempt", "over", "asked")
 
     def __init__(self, reply: Callable[[Reply], None]) -> None:
         self.reply = reply
         self.flight: Flight | None = None
         self.attempt: Remote | None = None  # the attempt that this stream was told of
         self.over = False
+        self.asked = 0.0  # when its last ask came
 
     def say(self, reply: Reply) -> None:
         if not self.over:
@@ -212,7 +224,24 @@
             stream.say(Again(not self.may_have_run))
             self._expect()
 
-    def drop(self, stream: Stream) -> None:
+    def late(self, stream: Stream) -> None:
+        """The decision was not written to its caller in time: nothing ran, and the module decides afresh."""
+        attempt = self._untold(stream)
+        self.waiting = stream
+        attempt.fail("moot")
+
+    def _untold(self, stream: Stream) -> Remote:
+        """What the stream was told of never left us: it surely did not run."""
+        attempt, stream.attempt, self.holder = stream.attempt, None, None
+        assert attempt is not None
+        self.may_have_run = self.ran_before
+        attempt.recall()
+        return attempt
+
+    def drop(self, stream: Stream, unwritten: bool) -> None:
+        if unwritten and stream is self.holder and stream.attempt is not None:
+            self._untold(stream)
+            self.waiting = stream
         if stream is self.waiting:  # its caller has given up with nothing out
             self.waiting = None
             self.desk.engine.gone(self)
@@ -247,7 +276,8 @@
         self.ran_before, self.may_have_run = self.may_have_run, True
         self.waiting, self.holder, stream.attempt = None, stream, attempt
         time_out = max(1.0, (attempt.due - self.desk.clock.now()) * 1000.0)
-        stream.say(Told(attempt.host.address, self.token, time_out))
+        by = attempt.stands_until
+        stream.say(Told(attempt.host.address, self.token, time_out, (by - stream.asked) * 1000.0, by))
 
     def _overlapped(self) -> None:
         stream, self.following, self.overlap = self.following, None, None
@@ -302,7 +332,7 @@
 
     def ask(self, stream: Stream, ask: Ask, at: float = math.inf) -> None:
         """A request's headers came at this moment (or now); one reply follows, unless the stream ends."""
-        at = min(at, self.clock.now())
+        stream.asked = at = min(at, self.clock.now())
         if ask.token and ask.opens:
             # Only a client can have written it: whoever opens a request has no token yet.
             self.engine.counts["token forged"] += 1
@@ -334,12 +364,22 @@
         else:
             stream.flight.report(stream, result)
 
-    def drop(self, stream: Stream) -> None:
-        """The stream has ended, in whatever way; nothing more is said to it."""
+    def late(self, stream: Stream) -> None:
+        """Told came to whoever writes it after its `by`: it was not written. Another reply follows."""
+        flight = stream.flight
+        if flight is not None and not flight.done and stream.attempt is not None:
+            self.engine.counts["written too late"] += 1
+            flight.late(stream)
+
+    def drop(self, stream: Stream, unwritten: bool = False) -> None:
+        """The stream has ended, in whatever way; nothing more is said to it.
+
+        unwritten: no reply to its last ask had been written, nor will be.
+        """
         stream.over = True
         flight, stream.flight = stream.flight, None
         if flight is not None and not flight.done:
-            flight.drop(stream)
+            flight.drop(stream, unwritten)
 
     def ended(self, flight: Flight, reply: Reply) -> None:
         """A flight has ended: its client's copies are known for what they are until their time is over."""
--- a/quartzford/fronts/extproc/intake.py
+++ b/quartzford/fronts/extproc/intake.py
@@ -1,8 +1,9 @@
 """The order in which the deciding process looks at what waits for it. No I/O.
 
 A bound on this process alone, as others have one on connections or bytes: what it can't look at in time the
-desk turns away, unread. What is looked at, the decision module judges. Ends (reports, drops) go before asks,
-since each frees something; asks go by their class's worth, oldest first: a lack of time costs the least.
+desk turns away, unread. What is looked at, the decision module judges. Ends (reports, drops, decisions not
+written) go before asks, since each frees something; asks go by their class's worth, oldest first: a lack of
+time costs the least.
 No stream asks after its drop: their numbers are never used again on a line.
 """
 
--- a/quartzford/fronts/extproc/line.py
+++ b/quartzford/fronts/extproc/line.py
@@ -1,7 +1,7 @@
 """The line between a gRPC worker and the process that decides: JSON arrays, one a line, over a Unix socket.
 
 Up: ["ask", stream, at, ...Ask] (at: monotonic seconds, one clock for all processes of a machine),
-["report", stream, ...Result], ["drop", stream], ["bound", port].
+["report", stream, ...Result], ["late", stream], ["drop", stream, unwritten], ["bound", port].
 Down: [reply, stream, ...fields], ["names", {...}, longest_s], ["stop"]. A line that ends drops all its
 streams: the worker has died, and what its callers had been told of may run.
 """
@@ -145,7 +145,9 @@
         elif what == "drop":
             gone = self.streams.pop(number, None)
             if gone is not None:
-                self.desk.drop(gone)
+                self.desk.drop(gone, message[2])
+        elif what == "late":
+            self.desk.late(self.streams[number])
         elif what == "bound":
             self.port = number
 
@@ -192,7 +194,10 @@
     def report(self, stream: Stream, result: Result) -> None:
         self.send("report", self.numbers[stream], *result)
 
-    def drop(self, stream: Stream) -> None:
+    def late(self, stream: Stream) -> None:
+        self.send("late", self.numbers[stream])
+
+    def drop(self, stream: Stream, unwritten: bool) -> None:
         number = self.numbers.pop(stream)
         del self.streams[number]
-        self.send("drop", number)
+        self.send("drop", number, unwritten)
--- a/quartzford/fronts/extproc/messages.py
+++ b/quartzford/fronts/extproc/messages.py
@@ -40,6 +40,7 @@
     destination: str = "x-quartzford-destination"
     token: str = "x-quartzford-token"
     retry: str = "x-quartzford-retry"
+    within: str = "x-quartzford-within"
     default_class: str = ""  # of a request that names none
     most_headers: int = 256
     most_bytes: int = 64 * 1024
@@ -156,12 +157,13 @@
 
     def write(self, reply: Reply) -> bytes:
         match reply:
-            case Told(address, token, time_out):
+            case Told(address, token, time_out, within, _):
                 rows = [
                     header(self.names.destination, address.encode()),
                     header(self.names.token, token.encode()),
                     header(TIME_OUT, b"%d" % time_out),
                     header(self.names.left, b"%dm" % time_out),
+                    header(self.names.within, b"%d" % max(0.0, within)),
                 ]
                 return self._told(rows, self.attempt_mode)
             case Opened(token):
--- a/quartzford/fronts/extproc/outcome.py
+++ b/quartzford/fronts/extproc/outcome.py
@@ -25,6 +25,8 @@
     "upstream_per_try_timeout",
     "request_overall_timeout",
 )
+# A caller that keeps to the end of a decision's validity says so in these words, having sent nothing.
+EXPIRED = ("decision_expired",)
 BROKE = ("upstream_reset", "upstream_response_header")
 
 
@@ -38,7 +40,10 @@
 
 def read_result(status: int, unprocessed: bool, details: str, load: bytes, names: tuple[str, ...]) -> Result:
     """From an answer's status, X-Unprocessed, code details ('' where not told) and load report."""
-    for code, starts in (("connect_failed", NEVER_SENT), ("timeout", TIMED_OUT), ("reset", BROKE)):
+    local = (
+        ("connect_failed", NEVER_SENT), ("moot", EXPIRED), ("timeout", TIMED_OUT), ("reset", BROKE)
+    )  # fmt: skip
+    for code, starts in local:
         if details.startswith(starts):
             return Result(code)
     report = read_report(load, names) if load else ()
--- a/quartzford/fronts/extproc/server.py
+++ b/quartzford/fronts/extproc/server.py
@@ -41,14 +41,16 @@
 
     def report(self, stream: Stream, result: Result) -> None: ...
 
-    def drop(self, stream: Stream) -> None: ...
+    def late(self, stream: Stream) -> None: ...
+
+    def drop(self, stream: Stream, unwritten: bool) -> None: ...
 
 
 class Direct:
     """The desk in this very process."""
 
     def __init__(self, desk: Desk) -> None:
-        self.ask, self.report, self.drop = desk.ask, desk.report, desk.drop
+        self.ask, self.report, self.late, self.drop = desk.ask, desk.report, desk.late, desk.drop
 
     def open(self, stream: Stream) -> None:
         return None
@@ -116,6 +118,8 @@
     def _replied(self, reply: Reply) -> None:
         if isinstance(reply, Cut):
             return self.caller.finish(self, DEADLINE_EXCEEDED, "the request's time is over")
+        if self.busy and isinstance(reply, Told) and self.caller.processor.clock.now() > reply.by:
+            return self.caller.processor.link.late(self)  # the nodo may be draining by now: decide afresh
         if self.busy:
             self.busy, self.told = False, isinstance(reply, Told | Opened)
             self._say(self.caller.processor.writer.write(reply))
@@ -210,7 +214,7 @@
     def _drop(self, wire: Wire) -> None:
         if not wire.over:
             self.processor.streams -= 1
-            self.processor.link.drop(wire)
+            self.processor.link.drop(wire, wire.busy)
             wire.over = True
 
     def finish(self, wire: Wire, status: int, why: str) -> None:
--- a/quartzford/operatorfile.py
+++ b/quartzford/operatorfile.py
@@ -25,6 +25,7 @@
     "destination": "x-quartzford-destination",
     "token": "x-quartzford-token",
     "retry": "x-quartzford-retry",
+    "within": "x-quartzford-within",
 }
 # Envoy keeps these from mutation, or gives them a meaning of its own.
 RESERVED = ("host", "connection", "content-length", "transfer-encoding", "cookie", "te", "upgrade")
@@ -40,7 +41,7 @@
 
     listen: str
     workers: int = 1  # processes that serve gRPC; 0: within the deciding process
-    decision_valid_ms: float = 100.0  # a decision that waits longer to be claimed is made anew
+    decision_valid_ms: float = 150.0  # an older decision is neither told nor written, but made anew
     return_ms: float = 250.0  # for how long a request waits for its caller's next stream
     overlap_ms: float = 50.0  # for how long a stream waits that asks while an attempt is out
     queue_ms: float = 100.0  # for how long a request may wait for the deciding process
@@ -112,7 +113,7 @@
             raise OperatorError(f"{where}: {header!r} is not a header's name in lower case")
         if header in RESERVED:
             raise OperatorError(f"{where}: {header!r} can't be set or read for this")
-        if header.startswith("x-envoy-") and name in ("destination", "token", "retry"):
+        if header.startswith("x-envoy-") and name in ("destination", "token", "retry", "within"):
             raise OperatorError(f"{where}: {header!r}: callers keep x-envoy- headers from being set")
     used = list((HEADERS | value).values())
     for name, header in value.items():
--- a/tests/test_extproc_process.py
+++ b/tests/test_extproc_process.py
@@ -62,6 +62,54 @@
         assert (await site.ask(site.caller(), "pay")).statuses == [200]
 
 
+async def told_while_the_worker_stands_still(site: Site, name: str) -> tuple[Raw, asyncio.Task[Any], str]:
+    """A request held until its worker stands still, then decided: who asked, its question, the nodo."""
+    for nodo in site.nodos:
+        site.registry.tell(nodo, health="draining")
+    await until(lambda: not site.backend.hosts)
+    raw = Raw(site.caller())
+    asking = asyncio.create_task(raw.ask(rows_of("c1", name)))
+    await until(lambda: site.open_flights() == 1)
+    site.front.workers[0].send_signal(signal.SIGSTOP)
+    for nodo in site.nodos:
+        site.registry.tell(nodo)
+    (flight,) = site.front.desk.flights.values()
+    await until(lambda: flight.holder is not None)
+    assert flight.attempt is not None and not asking.done()
+    return raw, asking, flight.attempt.server
+
+
+@run
+async def test_a_worker_that_stood_still_gives_a_decision_back_unwritten() -> None:
+    """The nodo drained meanwhile: the request goes elsewhere, and runs once."""
+    async with Site(3, workers=1) as site:
+        raw, asking, chosen = await told_while_the_worker_stands_still(site, "pay")
+        nodo = site.nodos[int(chosen[1:])]
+        site.registry.tell(nodo, health="draining")
+        await until(lambda: chosen not in site.backend.hosts)
+        await asyncio.sleep(site.extproc.decision_valid_ms / 1000.0)
+        site.front.workers[0].send_signal(signal.SIGCONT)
+        assert status_of(await asking) == 0
+        assert raw.address() != f"127.0.0.1:{nodo.port}"
+        assert site.node.engine.counts["written too late"] == site.node.engine.counts["moot"] == 1
+        await raw.report(200)
+        assert site.node.engine.counts["ok"] == 1 and not site.open_flights()
+
+
+@run
+async def test_a_caller_that_left_a_worker_that_stood_still_ran_nothing() -> None:
+    async with Site(3, workers=1) as site:
+        raw, asking, _ = await told_while_the_worker_stands_still(site, "pay")
+        raw.drop()
+        await asyncio.sleep(site.extproc.decision_valid_ms / 1000.0)
+        site.front.workers[0].send_signal(signal.SIGCONT)
+        with pytest.raises((asyncio.CancelledError, asyncio.InvalidStateError, grpc.aio.AioRpcError)):
+            await asking
+        await until(lambda: not site.open_flights())
+        done = await site.ask(site.caller(), "pay", identity="c1")
+        assert done.statuses == [200] and site.runs("c1") == 1
+
+
 class Program:
     """`serve --operator FILE` in a process of its own."""
 
