--- a/bench/common.py
+++ b/bench/common.py
@@ -66,7 +66,7 @@
 ]  # fmt: skip
 MIX = (("consulta", 0.6), ("reserva", 0.3), ("cobro", 0.1))
 START_SHARE, WARM_S, FALL_S, TIP = 0.13, 24.0, 2.0, 4.0
-DRAIN_S, SLACK_S = 0.25, 0.05
+DRAIN_S = 0.25
 
 
 def config(listen: int, discovery: int, known: dict[str, Any]) -> dict[str, Any]:
--- a/bench/extproc.py
+++ b/bench/extproc.py
@@ -29,11 +29,9 @@
 import uvloop
 
 from bench.common import (
-    DRAIN_S,
     FALL_S,
     MIX,
     ROOT,
-    SLACK_S,
     START_SHARE,
     TIP,
     WARM_S,
@@ -44,8 +42,10 @@
     quantile,
     report,
 )  # fmt: skip
+from quartzford.load.judge import cold_breaches, late_sends
 from standins.caller import STAGES, CallerProxy, Exchange, Policy, request_rows
-from standins.nodo import Books, Nodo, Registry, fleet
+from standins.fleet import Fleet
+from standins.fleet import Plan as FleetPlan
 
 LEAD_S = 2.0  # from the last process's start to the first arrival
 WARM_UP_S = 3.0  # arrivals that are not measured: the module learns its fleet
@@ -71,110 +71,33 @@
 # ---- the fleet's process
 
 
-async def trouble(plan: Plan, nodos: list[Nodo], registry: Registry, log: list[Any]) -> None:
-    """Nodos die, drain, fall silent or swallow, at most a fifth at a time, and come back cold."""
-    rng = random.Random(plan.seed)
-    busy: set[str] = set()
-    tasks = []
-
-    async def one(nodo: Nodo, what: str) -> None:
-        busy.add(nodo.name)
-        log.append((time.monotonic(), what, nodo.name))
-        if what == "drain":
-            nodo.health = "draining"
-            registry.tell(nodo)
-            await asyncio.sleep(1.0)
-            await nodo.stop()
-            registry.tell(nodo, health="gone")
-        elif what == "die":
-            await nodo.stop()
-            await asyncio.sleep(rng.uniform(0.3, 1.0))  # the padrón is late
-            registry.tell(nodo, health="gone")
-        else:
-            nodo.mode = what
-            await asyncio.sleep(rng.uniform(1.0, 2.0))
-            await nodo.stop()
-            registry.tell(nodo, health="gone")
-        await asyncio.sleep(rng.uniform(0.5, 1.5))
-        await nodo.restart()
-        registry.tell(nodo)
-        await asyncio.sleep(4.0)
-        busy.discard(nodo.name)
-
-    while True:
-        await asyncio.sleep(rng.uniform(0.3, 0.9) * 24 / plan.nodos)
-        free = [n for n in nodos if n.name not in busy]
-        if len(busy) < max(1, plan.nodos // 5):
-            what = rng.choice(("die", "drain", "drain", "silent", "swallow"))
-            tasks.append(asyncio.ensure_future(one(rng.choice(free), what)))
-
-
 async def run_fleet(plan: Plan, pipe: Connection) -> None:
     capacity = plan.rate * SPARE / plan.nodos
-
-    def make(number: int, books: Books) -> Nodo:
-        return Nodo(
-            f"s{number:04}", books, block=number // 4, capacity=capacity, queue=max(8, int(capacity * 0.4)),
-            start_share=START_SHARE, warm_s=WARM_S, rng=random.Random(number),
+    one = Fleet(
+        FleetPlan(
+            plan.nodos,
+            capacity,
+            queue=max(8, int(capacity * 0.4)),
+            start_share=START_SHARE,
+            warm_s=WARM_S,
+            seed=plan.seed,
+            trouble="random",
         )  # fmt: skip
-
-    nodos, books, registry = await fleet(plan.nodos, make)
-    told: list[tuple[str, float, float]] = []  # address, drained from, until
-    tell = registry.tell
-
-    def telling(nodo: Nodo, **changes: Any) -> None:
-        state = nodo.entry(**changes)["health"]
-        now, address = time.monotonic(), f"127.0.0.1:{nodo.port}"
-        open_ones = [n for n, row in enumerate(told) if row[0] == address and row[2] == float("inf")]
-        if state == "ready":
-            for n in open_ones:
-                told[n] = (address, told[n][1], now)
-        elif not open_ones:
-            told.append((address, now, float("inf")))
-        tell(nodo, **changes)
-
-    registry.tell = telling  # type: ignore[method-assign]
-    pipe.send((registry.port, registry.whole()))
+    )
+    await one.start()
+    pipe.send((one.registry.port, one.registry.whole()))
     loop = asyncio.get_running_loop()
     await loop.run_in_executor(None, pipe.recv)  # go
-    log: list[Any] = []
-    births: list[tuple[str, int, float]] = []
-    for nodo in nodos:
-        restart = nodo.restart
-
-        async def restarting(nodo: Nodo = nodo, restart: Any = restart) -> None:
-            await restart()
-            births.append((nodo.name, nodo.life, nodo.born or 0.0))
-
-        nodo.restart = restarting  # type: ignore[method-assign]
-    task = asyncio.ensure_future(trouble(plan, nodos, registry, log))
+    one.begin()
     await loop.run_in_executor(None, pipe.recv)  # stop
-    task.cancel()
-    cold = cold_breaches(books, births, capacity)
-    runs = [(r.at, r.identity, r.service_class, r.key, r.block) for r in books.runs]
-    pipe.send({
-        "runs": runs, "told": told, "cold": cold, "events": len(log), "turned_away": books.turned_away,
-        "overlapping": books.overlapping, "twice": {c: len(books.twice(c)) for c, _ in MIX},
-        "effects_twice": len(books.effects_twice("reserva", 2.0)), "births": len(births),
+    one.stop()
+    books = one.books
+    pipe.send(one.account() | {
+        "twice": {c: len(books.twice(c)) for c, _ in MIX},
+        "effects_twice": len(books.effects_twice("reserva", books.window_s)),
     })  # fmt: skip
 
 
-def cold_breaches(books: Books, births: list[tuple[str, int, float]], capacity: float) -> dict[str, float]:
-    """Fresh lives that were sent over TIP times what they could do in FALL_S, and the worst multiple."""
-    worst, over = 0.0, 0
-    for name, life, born in births:
-        times = [at for at, of in books.arrivals.get(name, ()) if of == life and at - born < WARM_S]
-        most, first = 0.0, 0
-        for last, at in enumerate(times):
-            while times[first] < at - FALL_S:
-                first += 1
-            middle = max(0.0, at - FALL_S / 2 - born)
-            able = capacity * min(1.0, START_SHARE + (1 - START_SHARE) * middle / WARM_S)
-            most = max(most, (last - first + 1) / (able * FALL_S))
-        worst, over = max(worst, most), over + (most > TIP)
-    return {"lives": len(births), "worst_multiple": round(worst, 2), "over": over}
-
-
 # ---- a caller's process
 
 
@@ -314,22 +237,15 @@
         mine = [row for row in measured if row[1] == name and not row[6]]
         counts = {str(s): sum(row[2] == [s] for row in mine) for s in sorted({x for r in mine for x in r[2]})}
         classes[name] = {"asked": len(mine), "answers": counts}
-    drained = drained_here = expired = 0
-    latest = latest_told = 0.0
-    spans: dict[str, list[tuple[float, float]]] = {}
-    for address, begun, until in books["told"]:
-        spans.setdefault(address, []).append((begun, until))
-    for row in rows:
-        for at, address, _, _, told, outcome in row[8]:
-            expired += outcome == "expired"
-            sent = at >= 0  # a drain counts to a send's first byte: a connection that never came up is none
-            for begun, until in spans.get(address, ()):
-                if sent and begun < at < until:
-                    latest = max(latest, at - begun)
-                    drained += at - begun > DRAIN_S + SLACK_S
-                    drained_here += told - begun > DRAIN_S + SLACK_S
-                if begun < told < until:
-                    latest_told = max(latest_told, told - begun)
+    attempts_all = [attempt for row in rows for attempt in row[8]]
+    expired = sum(attempt[5] == "expired" for attempt in attempts_all)
+    drains = [(address, since, until) for _, address, since, until in books["drains"]]
+    # A drain counts to a send's first byte: a connection that never came up is none.
+    sent = [attempt for attempt in attempts_all if attempt[0] >= 0]
+    drained, latest = late_sends(drains, ((a[1], a[0]) for a in sent))
+    drained_here, _ = late_sends(drains, ((a[1], a[4]) for a in sent))
+    _, latest_told = late_sends(drains, ((a[1], a[4]) for a in attempts_all))
+    cold = cold_breaches(books["births"], books["arrivals"], FALL_S, TIP)
     ran = {identity for _, identity, *_ in books["runs"]}
     refused_ran = sum(
         row[1] != "consulta" and row[2] in ([503], [429]) and row[9] in ran and not row[6] for row in rows
@@ -343,7 +259,7 @@
         "attempts of one request at once": books["overlapping"]
         + sum(later[4] < sooner[2] for row in rows for sooner, later in pairwise(row[8])),
         "drain breaches": drained,
-        "cold breaches": books["cold"]["over"],
+        "cold breaches": cold["over"],
         "callers broken": sum(len(result["broken"]) for result in results),
         "balancer's exit": ended,
     }
@@ -363,8 +279,8 @@
         "classes": classes,
         "reasons": Counter(f"{row[2]} {row[7]}" for row in stayed if row[2] != [200]).most_common(6),
         "dropped": sum(bool(row[6]) for row in rows),
-        "faults": books["events"],
-        "cold": books["cold"],
+        "faults": sum(what != "cold" for _, what, _ in books["events"]),
+        "cold": cold,
         "latest_send_after_drain_ms": round(latest * 1000, 1),
         "latest_decision_read_after_drain_ms": round(latest_told * 1000, 1),
         "drain_breaches_read_late": drained_here,
--- a/standins/nodo.py
+++ b/standins/nodo.py
@@ -1,21 +1,25 @@
 """Stand-in nodos: HTTP/1.1 servers by the platform's protocol, that keep books of what ran.
 
-A nodo works at `capacity` requests a second when warm. A fresh one starts at a part of that and warms up; a
-request that finds the queue full, or a nodo draining, is turned away with 503 and X-Unprocessed: 1. What a
-nodo takes counts as run, whether or not its answer arrives.
+A nodo works at `capacity` requests a second when warm, on so many cores with one queue before them. A fresh
+one starts at a part of that and warms up; a request that finds the queue full, a nodo draining, or too many
+connections, is turned away with 503 and X-Unprocessed: 1. Waiting work whose client has left is dropped,
+running work is not. What a nodo takes counts as run, whether or not its answer arrives. A repeat of a keyed
+request is dropped by the nodos of one block for a while: answered at once, with no second effect. A new
+connection costs a core some work, and the first request on it as much time; an idle one is closed.
 """
 
 from __future__ import annotations
 
 import asyncio
+import heapq
 import json
 import random
 import socket
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from time import monotonic, time
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 import httptools
 
@@ -32,18 +36,30 @@
     key: str
     block: int
     life: int
+    dropped: bool = False  # a repeat that its block knew: no effect
 
 
 @dataclass
 class Books:
     """What a fleet's nodos saw, on one clock."""
 
+    window_s: float = 2.0  # for how long a block drops repeats of a key
     runs: list[Run] = field(default_factory=list)
+    effects: dict[tuple[int, str], float] = field(default_factory=dict)  # by block and key: when
     turned_away: int = 0
+    births: list[tuple[str, int, float]] = field(default_factory=list)  # nodo, life, when: cold ones
     arrivals: dict[str, list[tuple[float, int]]] = field(default_factory=dict)  # by nodo: when, which life
     overlapping: int = 0  # attempts of one request at once
     open: dict[str, list[Connection]] = field(default_factory=dict)  # by id: where its client still waits
 
+    def repeat(self, run: Run) -> bool:
+        """Whether its block drops this keyed run, as a repeat; else it has its effect now."""
+        first = self.effects.get((run.block, run.key))
+        if first is not None and run.at - first <= self.window_s:
+            return True
+        self.effects[run.block, run.key] = run.at
+        return False
+
     def twice(self, service_class: str) -> list[str]:
         """Ids of a class that began more than once."""
         counts = Counter(run.identity for run in self.runs if run.service_class == service_class)
@@ -66,11 +82,14 @@
     def __init__(
         self, name: str, books: Books, *, site: str = "north", block: int = 0, capacity: float = 1000.0,
         latency_s: float = 0.005, queue: int = 200, start_share: float = 0.13, warm_s: float = 0.0,
+        cores: int = 1, most_connections: int = 0, connect_s: float = 0.0, idle_s: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:  # fmt: skip
         self.name, self.books, self.site, self.block = name, books, site, block
         self.capacity, self.latency_s, self.queue = capacity, latency_s, queue
         self.start_share, self.warm_s = start_share, warm_s
+        self.cores, self.most_connections = cores, most_connections  # 0: no bound
+        self.connect_s, self.idle_s = connect_s, idle_s  # 0: costs nothing; never closed
         self.rng = rng or random.Random(name)
         self.mode = "ok"
         self.slowness = 1.0
@@ -78,7 +97,9 @@
         self.life = 0
         self.born: float | None = None  # None: long ago
         self.born_ms = 0
-        self.busy_until = 0.0
+        self.backlog: deque[Work] = deque()
+        self.free = [0.0] * cores  # when each core is free, a heap
+        self.feeding: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
         self.port = 0
         self.connections: set[Connection] = set()
@@ -96,6 +117,10 @@
         server, self.server = self.server, None
         if server is not None:
             server.close()
+        self.backlog.clear()
+        if self.feeding is not None:
+            self.feeding.cancel()
+            self.feeding = None
         for connection in list(self.connections):
             connection.transport.abort()
 
@@ -104,7 +129,9 @@
         await self.stop()
         self.life += 1
         self.born, self.born_ms = monotonic(), int(time() * 1000)
-        self.mode, self.slowness, self.busy_until, self.health = "ok", 1.0, 0.0, "ready"
+        self.books.births.append((self.name, self.life, self.born))
+        self.mode, self.slowness, self.health = "ok", 1.0, "ready"
+        self.free = [self.born] * self.cores
         await self.start()
 
     def able(self, now: float) -> float:
@@ -115,8 +142,12 @@
             warm = min(1.0, self.start_share + (1 - self.start_share) * (now - self.born) / self.warm_s)
         return self.capacity * warm / self.slowness
 
-    def waiting(self, now: float) -> int:
-        return max(0, int((self.busy_until - now) * self.able(now)))
+    def waiting(self) -> int:
+        """Requests that no core has begun."""
+        return len(self.backlog)
+
+    def busy(self, now: float) -> int:
+        return sum(at > now for at in self.free)
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         """This nodo as discovery tells of it."""
@@ -134,20 +165,66 @@
             return connection.answer(404, b"", False)
         if self.mode == "silent":
             return None
-        if self.mode == "full" or self.health == "draining" or self.waiting(now) >= self.queue:
+        crowded = self.most_connections and len(self.connections) > self.most_connections
+        if self.mode == "full" or self.health == "draining" or self.waiting() >= self.queue or crowded:
             self.books.turned_away += 1
             return connection.answer(503, b"", True)
         name, key = fields.get("x-service-class", ""), fields.get("idempotency-key", "")
-        self.books.runs.append(Run(now, identity, name, key, self.block, self.life))
+        run = Run(now, identity, name, key, self.block, self.life)
+        run.dropped = bool(key) and self.books.repeat(run)
+        self.books.runs.append(run)
         earlier = self.books.open.setdefault(identity, [])
         self.books.overlapping += any(one.still_open() for one in earlier)
         earlier.append(connection)
         connection.running = identity
-        self.busy_until = max(now, self.busy_until) + 1.0 / self.able(now)
-        done = self.busy_until + self.latency_s * self.slowness * self.rng.uniform(0.8, 1.2)
         if self.mode == "swallow":
             return None
-        asyncio.get_running_loop().call_later(done - now, connection.finish, identity, self.mode)
+        work = Work(now, identity, connection, self.mode)
+        if run.dropped:
+            return self._answer_at(now, now, work)
+        self.backlog.append(work)
+        if self.feeding is None:
+            self._feed()
+
+    def left(self, connection: Connection) -> None:
+        """A client has gone: what of it waits is dropped."""
+        for work in self.backlog:
+            if work.connection is connection:
+                self.backlog.remove(work)
+                return
+
+    def spend(self, now: float, seconds: float) -> None:
+        """Work that is no request."""
+        heapq.heapreplace(self.free, max(now, self.free[0]) + seconds)
+
+    def _feed(self) -> None:
+        """Cores take what waits. Starts are reckoned, not read off the clock: late timers must not add up."""
+        self.feeding = None
+        now = monotonic()
+        while self.backlog and self.free[0] <= now:
+            work = self.backlog.popleft()
+            done = max(self.free[0], work.at) + self.cores / self.able(now)
+            heapq.heapreplace(self.free, done)
+            self._answer_at(done, now, work)
+        if self.backlog:
+            self.feeding = asyncio.get_running_loop().call_later(self.free[0] - now, self._feed)
+
+    def _answer_at(self, done: float, now: float, work: Work) -> None:
+        connection = work.connection
+        first, connection.first = self.connect_s if connection.first else 0.0, False
+        done += first + self.latency_s * self.slowness * self.rng.uniform(0.8, 1.2)
+        asyncio.get_running_loop().call_later(
+            max(0.0, done - now), connection.finish, work.identity, work.mode
+        )
+
+
+class Work(NamedTuple):
+    """A request that waits for a core."""
+
+    at: float
+    identity: str
+    connection: Connection
+    mode: str
 
 
 class Connection(asyncio.Protocol):
@@ -160,14 +237,26 @@
         self.parser: Any = None
         self.running = ""  # a request that this connection's client still waits for
         self.closed = False
+        self.first = True  # no request has been answered on it
+        self.idling: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.nodo.connections.add(self)
+        if self.nodo.connect_s:
+            self.nodo.spend(monotonic(), self.nodo.connect_s)
+        self._idle()
+
+    def _idle(self) -> None:
+        if self.nodo.idle_s:
+            self.idling = asyncio.get_running_loop().call_later(self.nodo.idle_s, self.transport.close)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
         self.nodo.connections.discard(self)
+        self.nodo.left(self)
+        if self.idling is not None:
+            self.idling.cancel()
         self._ended()
 
     def _ended(self) -> None:
@@ -193,6 +282,9 @@
             return False
 
     def data_received(self, data: bytes) -> None:
+        if self.idling is not None:
+            self.idling.cancel()
+            self.idling = None
         if self.parser is None:
             self.fields: dict[str, str] = {}
             self.parser = httptools.HttpRequestParser(self)
@@ -225,22 +317,25 @@
     def answer(self, status: int, body: bytes, unprocessed: bool) -> None:
         if self.closed:
             return
-        waiting = self.nodo.waiting(monotonic())
-        head = f"HTTP/1.1 {status} X\r\nX-Backend-Load: {json.dumps({'queue': waiting, 'util': 0.5})}\r\n"
+        nodo = self.nodo
+        load = {"queue": nodo.waiting(), "util": round(nodo.busy(monotonic()) / nodo.cores, 2)}
+        head = f"HTTP/1.1 {status} X\r\nX-Backend-Load: {json.dumps(load)}\r\n"
         head += "X-Unprocessed: 1\r\n" if unprocessed else ""
         self.transport.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        self._idle()
 
 
 class Registry:
     """The padrón: tells each watcher of every change, with the moment at which each was told."""
 
-    def __init__(self, nodos: list[Nodo]) -> None:
-        self.nodos = nodos
+    def __init__(self, nodos: list[Nodo], books: Books | None = None) -> None:
+        self.nodos, self.books = nodos, books or Books()
         self.version = 1
         self.server: asyncio.Server | None = None
         self.port = 0
         self.watchers: set[asyncio.Transport] = set()
         self.told: dict[str, float] = {}  # nodo: when it was last told that it drains or is gone
+        self.drains: list[list[Any]] = []  # nodo, address, told from, until (None: still)
         self.delay_s = 0.0
 
     async def start(self) -> None:
@@ -270,10 +365,30 @@
         entry = nodo.entry(**changes)
         line = {"seq": self.version, "whole": False, "hosts": [entry]}
         self._write(json.dumps(line).encode() + b"\n")
+        now, open_ones = monotonic(), [d for d in self.drains if d[0] == nodo.name and d[3] is None]
         if entry["health"] == "ready":
             self.told.pop(nodo.name, None)
+            for drain in open_ones:
+                drain[3] = now
         else:
-            self.told[nodo.name] = monotonic()
+            self.told[nodo.name] = now
+            if not open_ones:
+                self.drains.append([nodo.name, entry["dial"], now, None])
+
+    def account(self) -> dict[str, Any]:
+        """All that the fleet saw, as quartzford/load/judge.py reads it; GET /books gives it too."""
+        books = self.books
+        return {
+            "version": 1,
+            "runs": [[r.at, r.identity, r.service_class, r.key, r.block, r.dropped] for r in books.runs],
+            "arrivals": books.arrivals,
+            "drains": self.drains,
+            "births": [
+                [name, life, born, nodo.capacity, nodo.start_share, nodo.warm_s]
+                for name, life, born in books.births for nodo in self.nodos if nodo.name == name
+            ],
+            "turned_away": books.turned_away, "overlapping": books.overlapping, "window_s": books.window_s,
+        }  # fmt: skip
 
     def _write(self, line: bytes) -> None:
         for transport in list(self.watchers):
@@ -300,6 +415,10 @@
         if b"\r\n\r\n" not in self.data:
             return
         line, self.data = self.data.split(b"\r\n", 1)[0], b""
+        if b" /books " in line:
+            book = json.dumps(self.registry.account()).encode()
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(book) + book)
+            return
         whole = json.dumps(self.registry.whole()).encode()
         if b"stream=1" not in line:
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(whole) + whole)
@@ -315,6 +434,6 @@
     nodos = [make(number, books) for number in range(count)]
     for nodo in nodos:
         await nodo.start()
-    registry = Registry(nodos)
+    registry = Registry(nodos, books)
     await registry.start()
     return nodos, books, registry
--- a/tests/test_extproc_streams.py
+++ b/tests/test_extproc_streams.py
@@ -31,13 +31,15 @@
             return handle(now, event)
 
         site.node.engine.balancer.handle = watched  # type: ignore[method-assign]
+        for nodo in site.nodos:
+            nodo.busy = lambda now: 1  # type: ignore[method-assign]
         for name in ("read", "book", "pay"):
             done = await site.ask(caller, name)
             assert done.statuses == [200] and len(done.attempts) == 1 and not done.why
             assert site.runs(done.identity) == 1
         assert site.node.engine.counts["ok"] == 3 and not site.node.engine.calls
-        # The nodos say queue 0 and util 0.5; the module is told, in the order of the settings.
-        assert heard == [(0.0, 0.5)] * 3
+        # The nodos say queue 0 and util 1.0; the module is told, in the order of the settings.
+        assert heard == [(0.0, 1.0)] * 3
 
 
 @pytest.mark.parametrize("opener", [False, True])
--- /dev/null
+++ b/tests/test_load_judge.py
@@ -0,0 +1,82 @@
+"""The rules read from books: each kind of breach is seen, and what is no breach is not."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+import pytest
+
+from quartzford.load.clients import BRIEF
+from quartzford.load.judge import cold_breaches, judge, late_sends
+
+ACCOUNT: dict[str, Any] = {
+    "version": 1,
+    "runs": [
+        [1.0, "1.0.1-1", "consulta", "", 0, False],
+        [1.1, "1.0.2-1", "reserva", "k2", 0, False],
+        [1.2, "1.0.2-2", "reserva", "k2", 0, True],  # a repeat that its block dropped
+        [1.3, "1.0.3-2", "cobro", "", 0, False],
+    ],
+    "arrivals": {"s0": [[1.0, 0], [1.1, 0]], "s1": [[1.2, 1], [1.3, 1]]},
+    "drains": [["s0", "a:1", 0.9, None]],
+    "births": [["s1", 1, 1.15, 100.0, 0.13, 24.0]],
+    "turned_away": 1,
+    "overlapping": 0,
+    "window_s": 2.0,
+}
+TRIES = [
+    ("1.0.1-1", "consulta", "served"),
+    ("1.0.2-1", "reserva", "no answer"),
+    ("1.0.2-2", "reserva", "served"),
+    ("1.0.3-1", "cobro", "refused"),
+    ("1.0.3-2", "cobro", "served"),
+]
+
+
+def test_books_that_agree() -> None:
+    verdict = judge(ACCOUNT, TRIES, BRIEF)
+    assert verdict["kept"] and verdict["runs"] == 4 and verdict["drains"] == 1
+    assert verdict["latest_send_after_drain_ms"] == 200.0 and verdict["cold"]["lives"] == 1
+
+
+@pytest.mark.parametrize(
+    ("rule", "spoil"),
+    [
+        ("served but run by nobody", lambda a, t: t.append(("1.0.9-1", "consulta", "served"))),
+        ("refused though it ran", lambda a, t: t.append(("1.0.3-2", "cobro", "refused"))),
+        ("unsafe requests run twice", lambda a, t: a["runs"].append([2, "1.0.3-3", "cobro", "", 1, False])),
+        (
+            "keyed requests with two effects",
+            lambda a, t: a["runs"].append([2.0, "1.0.2-3", "reserva", "k2", 1, False]),
+        ),
+        (
+            "keyed requests with two effects",
+            lambda a, t: a["runs"].append([3.2, "1.0.2-3", "reserva", "k2", 0, False]),
+        ),
+        ("two attempts of one request at once", lambda a, t: a.update(overlapping=1)),
+        ("drain breaches", lambda a, t: a["arrivals"]["s0"].append([1.21, 0])),
+        ("cold breaches", lambda a, t: a["arrivals"]["s1"].extend([[1.4, 1]] * 120)),
+    ],
+)
+def test_each_rule_that_breaks_is_named(rule: str, spoil: Any) -> None:
+    account, tries = copy.deepcopy(ACCOUNT), list(TRIES)
+    spoil(account, tries)
+    verdict = judge(account, tries, BRIEF)
+    assert verdict["rules"][rule] == 1 and not verdict["kept"]
+    assert sum(bool(count) for count in verdict["rules"].values()) == 1
+
+
+def test_a_refused_consulta_that_ran_is_no_breach() -> None:
+    assert judge(ACCOUNT, [*TRIES, ("1.0.1-1", "consulta", "refused")], BRIEF)["kept"]
+
+
+def test_a_drain_that_ended_counts_no_more() -> None:
+    assert late_sends([("a", 1.0, 2.0)], [("a", 2.5), ("a", 0.5), ("b", 1.9)]) == (0, 0.0)
+    assert late_sends([("a", 1.0, 2.0)], [("a", 1.9)], 0.3) == (1, pytest.approx(0.9))
+
+
+def test_a_warm_life_is_not_cold() -> None:
+    rows = {"s": [[100.0, 1]] * 500}
+    assert cold_breaches([["s", 1, 1.0, 100.0, 0.13, 24.0]], rows)["over"] == 0
+    assert cold_breaches([["s", 1, 99.9, 100.0, 0.13, 24.0]], rows)["over"] == 1
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 from typing import Any
 
 from peers import read_message, run, until
 
+from standins.fleet import Fleet, Plan
 from standins.nodo import Books, Nodo, Run, fleet
 
 
@@ -96,3 +98,91 @@
     for runs, found in cases:
         books: Any = Books(runs=runs)
         assert books.effects_twice("reserva", 2.0) == found
+
+
+def posted(identity: str, key: str = "", name: str = "reserva") -> bytes:
+    fields = f"Idempotency-Key: {key}\r\n" if key else ""
+    return (
+        f"POST /api HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: {identity}\r\n"
+        f"X-Service-Class: {name}\r\n{fields}\r\n"
+    ).encode()
+
+
+@run
+async def test_a_block_drops_repeats_of_a_key_and_another_block_does_not() -> None:
+    nodos, books, registry = await fleet(3, lambda n, books: Nodo(f"s{n}", books, block=n // 2))
+    for number, nodo in enumerate(nodos):
+        reader, writer = await dial(nodo)
+        writer.write(posted(f"c{number}", "k"))
+        assert (await read_message(reader)).status == 200
+    assert [run.dropped for run in books.runs] == [False, True, False]
+    assert books.effects_twice("reserva", books.window_s) == ["k"]
+    for peer in (registry, *nodos):
+        await peer.stop()
+
+
+@run
+async def test_cores_work_side_by_side_and_the_queue_waits() -> None:
+    (nodo,), books, registry = await fleet(
+        1, lambda n, books: Nodo("s0", books, capacity=20.0, cores=2, latency_s=0.0, queue=2)
+    )
+    links = [await dial(nodo) for _ in range(5)]
+    for number, (_, writer) in enumerate(links):
+        writer.write(posted(f"c{number}"))
+        await until(lambda seen=number + 1: len(books.runs) + books.turned_away == seen)
+    assert nodo.busy(asyncio.get_running_loop().time()) <= 2
+    statuses = [(await read_message(reader)).status for reader, _ in links]
+    assert statuses == [200, 200, 200, 200, 503]  # two run, two wait, one is too many
+    for peer in (registry, nodo):
+        await peer.stop()
+
+
+@run
+async def test_waiting_work_whose_client_left_is_dropped() -> None:
+    (nodo,), books, registry = await fleet(1, lambda n, books: Nodo("s0", books, capacity=5.0, latency_s=0.0))
+    one, two, three = [await dial(nodo) for _ in range(3)]
+    for number, (_, writer) in enumerate((one, two, three)):
+        writer.write(posted(f"c{number}"))
+        await until(lambda seen=number + 1: len(books.runs) == seen)
+    assert nodo.waiting() == 2
+    two[1].transport.abort()
+    await until(lambda: nodo.waiting() == 1)
+    assert (await read_message(one[0])).status == (await read_message(three[0])).status == 200
+    for peer in (registry, nodo):
+        await peer.stop()
+
+
+@run
+async def test_connections_are_capped_cost_work_and_are_closed_when_idle() -> None:
+    (nodo,), books, registry = await fleet(
+        1, lambda n, books: Nodo("s0", books, most_connections=2, connect_s=0.01, idle_s=0.3)
+    )
+    links = [await dial(nodo) for _ in range(3)]
+    await until(lambda: len(nodo.connections) == 3)
+    before = nodo.free[0]
+    assert before > 0.0  # three handshakes of work
+    links[2][1].write(posted("c2"))
+    answer = await read_message(links[2][0])
+    assert answer.status == 503 and answer.fields["x-unprocessed"] == "1" and books.turned_away == 1
+    assert await asyncio.wait_for(links[0][0].read(), 20) == b""  # closed by the nodo
+    await until(lambda: not nodo.connections)
+    for peer in (registry, nodo):
+        await peer.stop()
+
+
+@run
+async def test_a_fleets_trouble_is_scripted_and_its_account_read_over_http() -> None:
+    one = Fleet(Plan(nodos=2, trouble="drain@0:1"))
+    await one.start()
+    one.begin()
+    await until(lambda: one.registry.drains)
+    reader, writer = await asyncio.open_connection("127.0.0.1", one.registry.port)
+    writer.write(b"GET /books HTTP/1.1\r\nHost: a\r\n\r\n")
+    account = json.loads((await read_message(reader)).body)
+    assert [d[0] for d in account["drains"]] == ["s0001"] and account["drains"][0][3] is None
+    await until(lambda: one.books.births, 30)
+    assert [b[:2] for b in one.account()["births"]] == [["s0001", 1]]
+    assert one.account()["drains"][0][3] is not None
+    one.stop()
+    for peer in (one.registry, *one.nodos):
+        await peer.stop()
