--- a/bench/common.py
+++ b/bench/common.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import json
+import math
 import multiprocessing as mp
 import os
 import random
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,7 +20,11 @@
 
 import uvloop
 
+from quartzford.load.clients import SINGLE, Kind
+from quartzford.load.driver import Target
+from quartzford.load.run import Load, play
 from standins.nodo import Books, Nodo, fleet
+from standins.site import config, free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -51,46 +55,6 @@
         return []
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
-CLASSES = [
-    {"name": "consulta", "sloMs": 500.0, "deadlineMs": 2000.0, "value": 1.0, "effect": "free"},
-    {"name": "reserva", "sloMs": 600.0, "deadlineMs": 2000.0, "value": 10.0, "effect": "guarded",
-     "group": "cell", "memorySpanMs": 2000.0},
-    {"name": "cobro", "sloMs": 600.0, "deadlineMs": 2000.0, "value": 8.0, "effect": "single_shot"},
-]  # fmt: skip
-MIX = (("consulta", 0.6), ("reserva", 0.3), ("cobro", 0.1))
-START_SHARE, WARM_S, FALL_S, TIP = 0.13, 24.0, 2.0, 4.0
-DRAIN_S = 0.25
-
-
-def config(listen: int, discovery: int, known: dict[str, Any]) -> dict[str, Any]:
-    """A balancer's configuration in the platform's form."""
-    settings = {
-        "blend": {"whole": 0.55, "worstWindow": 0.15, "worstClass": 0.05, "worstTenant": 0.25},
-        "classes": CLASSES,
-        "guarantees": {
-            "answerSlackMs": 20.0, "askEveryMs": 10000.0, "coldMs": WARM_S * 1000, "tipMultiple": TIP,
-            "drainGraceMs": DRAIN_S * 1000, "fallMs": FALL_S * 1000, "startCapacity": START_SHARE,
-        },
-        "limits": {
-            "connIdleMs": 15000.0, "connectTimeoutMs": 250.0, "maxAttempts": 4, "mayCancel": True,
-            "retryAfter": True, "maxRetryAfterMs": 2000.0,
-        },
-        "myZone": "north", "nInstances": 1, "prices": {"waste": 0.05, "lateFail": 0.03},
-        "registryMode": "automatic", "report": {"fields": ["depth"], "source": "inline"}, "tickMs": 5.0,
-    }  # fmt: skip
-    return {
-        "name": "n0", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}", "seed": "5",
-        "limits": {"cores": 1.0, "memory_mb": 512, "sockets": 4096}, "known": known, "settings": settings,
-    }  # fmt: skip
-
-
 async def _fleet(nodos: int, pipe: Connection) -> None:
     def make(number: int, books: Books) -> Nodo:
         return Nodo(f"s{number}", books, capacity=1e6, latency_s=0.0005, rng=random.Random(number))
@@ -137,6 +101,24 @@
             running.wait(20)
 
 
+def saturate(target: Target, seconds: float, workers: int = 3, clients: int = 24) -> dict[str, float]:
+    """What a server answers to closed-loop clients of several processes: its own bound, not theirs.
+
+    rate: answers 200 a second; others: requests that ended otherwise; p99_ms.
+    """
+    load = Load(
+        target, seconds=seconds, workers=workers, kinds=(Kind("consulta"),), manners=SINGLE, closed=clients,
+        late_ms=math.inf,
+    )  # fmt: skip
+    result = play(load)
+    good = result["ends"].get("consulta served", 0)
+    return {
+        "rate": good / seconds,
+        "others": result["ended"] - good,
+        "p99_ms": result["latency_ms"]["all"]["p99"],
+    }
+
+
 def report(result: dict[str, Any], path: str | None) -> None:
     if path:
         Path(path).write_text(json.dumps(result, indent=1) + "\n")
--- a/bench/extproc.py
+++ b/bench/extproc.py
@@ -28,24 +28,12 @@
 
 import uvloop
 
-from bench.common import (
-    FALL_S,
-    MIX,
-    ROOT,
-    START_SHARE,
-    TIP,
-    WARM_S,
-    children,
-    config,
-    cpu_seconds,
-    free_port,
-    quantile,
-    report,
-)  # fmt: skip
+from bench.common import ROOT, children, cpu_seconds, quantile, report
 from quartzford.load.judge import cold_breaches, late_sends
 from standins.caller import STAGES, CallerProxy, Exchange, Policy, request_rows
 from standins.fleet import Fleet
 from standins.fleet import Plan as FleetPlan
+from standins.site import FALL_S, MIX, START_SHARE, TIP, WARM_S, config, free_port
 
 LEAD_S = 2.0  # from the last process's start to the first arrival
 WARM_UP_S = 3.0  # arrivals that are not measured: the module learns its fleet
--- a/bench/http_path.py
+++ b/bench/http_path.py
@@ -7,52 +7,26 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import sys
-import time
 from pathlib import Path
 from statistics import median
 from typing import Any
 
-import uvloop
-
-from bench.common import ROOT, cpu_seconds, platform_run, report, sound_fleet
-from standins.caller import Link
+from bench.common import ROOT, cpu_seconds, platform_run, report, saturate, sound_fleet
+from quartzford.load.driver import Target
 
 CLIENTS = 32
 
 
-async def run_clients(port: int, seconds: float) -> tuple[int, int]:
-    """Closed loop: requests answered 200, and others."""
-    loop = asyncio.get_running_loop()
-    end, good, bad = time.monotonic() + seconds, 0, 0
-
-    async def client(number: int) -> None:
-        nonlocal good, bad
-        _, link = await loop.create_connection(Link, "127.0.0.1", port)
-        count = 0
-        while time.monotonic() < end:
-            count += 1
-            if link.closed:
-                _, link = await loop.create_connection(Link, "127.0.0.1", port)
-            status = await link.ask(
-                b"GET /api HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: %d-%d\r\nX-Service-Class: consulta\r\n"
-                b"X-Time-Left: 2000m\r\n\r\n" % (number, count)
-            )
-            good, bad = good + (status == 200), bad + (status != 200)
-        link.transport.abort()
-
-    await asyncio.gather(*(client(n) for n in range(CLIENTS)))
-    return good, bad
-
-
 def play(checkout: Path, discovery: int, known: Any, seconds: float) -> dict[str, float]:
     with platform_run(checkout, discovery, known) as (port, pid):
-        uvloop.run(run_clients(port, 1.0))
+        target = Target("127.0.0.1", port)
+        saturate(target, 1.0, 1, CLIENTS)
         before = cpu_seconds(pid)
-        good, bad = uvloop.run(run_clients(port, seconds))
+        got = saturate(target, seconds, 1, CLIENTS)
         cpu = cpu_seconds(pid) - before
-    return {"rate": good / seconds, "not_200": bad, "cpu_us": cpu / max(1, good) * 1e6}
+    served = got["rate"] * seconds
+    return {"rate": got["rate"], "not_200": got["others"], "cpu_us": cpu / max(1.0, served) * 1e6}
 
 
 def main() -> int:
--- a/bench/loadgen.py
+++ b/bench/loadgen.py
@@ -8,32 +8,24 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import json
-import multiprocessing as mp
 import subprocess
 import sys
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import replace
-from multiprocessing.connection import Connection
 from typing import Any
 
-import uvloop
-
-from bench.common import ROOT, cpu_seconds, platform_run, report, sound_fleet
+from bench.common import ROOT, cpu_seconds, platform_run, report, saturate, sound_fleet
 from quartzford.load.clients import SINGLE, Kind
 from quartzford.load.driver import Target
 from quartzford.load.run import Load, play
-from standins.caller import Link
 
 KINDS = (Kind("consulta", deadline_s=4.0, aim_s=1.0),)
 MARGIN, MARGIN_MS = 0.01, 0.5
 LATE_MS = 5.0
 RUNS, WARM_S = 3, 0.5
 EXPONENTIAL_MS = 20.0
-ASK = b"GET /api HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: c%d-%d\r\nX-Service-Class: consulta\r\n\r\n"
 KNOWN = ("constant:20", "two:5,50,0.05", "exponential:20")
 
 
@@ -92,45 +84,14 @@
     return rows
 
 
-async def closed_loop(port: int, seconds: float, clients: int) -> float:
-    """Requests a second of so many clients that each wait for their answer."""
-    loop = asyncio.get_running_loop()
-    end, done = time.monotonic() + seconds, 0
-
-    async def client(number: int) -> None:
-        nonlocal done
-        _, link = await loop.create_connection(Link, "127.0.0.1", port)
-        count = 0
-        while time.monotonic() < end:
-            count += 1
-            status = await link.ask(ASK % (number, count))
-            done += status == 200
-        link.transport.abort()
-
-    await asyncio.gather(*(client(n) for n in range(clients)))
-    return done / seconds
-
-
-def closed_main(port: int, seconds: float, pipe: Connection) -> None:
-    pipe.send(uvloop.run(closed_loop(port, seconds, 24)))
-
-
-def saturate(port: int, seconds: float, processes: int = 3) -> float:
-    """What a server answers to closed-loop clients of several processes: its own bound, not theirs."""
-    context = mp.get_context("spawn")
-    pipes = []
-    for _ in range(processes):
-        ours, theirs = context.Pipe()
-        context.Process(target=closed_main, args=(port, seconds, theirs), daemon=True).start()
-        pipes.append(ours)
-    return sum(float(pipe.recv()) for pipe in pipes)
+STEPS = (4000, 6000, 8000, 10_000, 12_000, 16_000)
 
 
-def reach(workers: int, seconds: float) -> dict[str, float]:
+def reach(workers: int, seconds: float, steps: tuple[int, ...] = STEPS) -> dict[str, float]:
     """The highest of a row of rates at which the generator was not late."""
     best: dict[str, float] = {"workers": workers, "rate": 0.0}
     with responder("none") as target:
-        for step in (4000, 6000, 8000, 10_000, 12_000, 16_000):
+        for step in steps:
             rate = step * workers
             load = Load(target, f"constant:{rate}", seconds, workers=workers, kinds=KINDS, manners=SINGLE)
             result = play(load)
@@ -169,13 +130,13 @@
 def table(seconds: float) -> list[dict[str, Any]]:
     """Closed loop for what one core answers; then p99 of the open loop at 50% and 80% of that."""
     with responder("none") as target:
-        bare = saturate(target.port, seconds)
+        bare = saturate(target, seconds)["rate"]
     rows: list[dict[str, Any]] = [{"what": "bare responder", "rate": round(bare)}]
     for nodos in (2, 24, 97):
         with balancer(nodos) as (target, pid):
-            saturate(target.port, 1.0)
+            saturate(target, 1.0)
             before = cpu_seconds(pid)
-            most = saturate(target.port, seconds)
+            most = saturate(target, seconds)["rate"]
             cpu = (cpu_seconds(pid) - before) / seconds
             row: dict[str, Any] = {"what": f"balancer, {nodos} nodos", "rate": round(most),
                                    "ratio": round(most / bare, 4), "cores": round(cpu, 2)}  # fmt: skip
@@ -212,10 +173,11 @@
               f"{row['late_p99_ms']:.3f} max {row['late_max_ms']:.3f} ms, ended {row['ended']} of "
               f"{row['sent']}{', said to be late' if row['said_to_be_late'] else ''}")  # fmt: skip
     with responder("none") as target:
-        result["bare"] = saturate(target.port, min(seconds, 4.0))
+        result["bare"] = saturate(target, min(seconds, 4.0))["rate"]
     print(f"  bare responder, closed loop: {result['bare']:.0f}/s")
     result["reach"] = [
-        reach(n, 1.5 if options.quick else 5.0) for n in ((1, 4) if not options.quick else (1,))
+        reach(n, 1.0 if options.quick else 5.0, STEPS[::2] if options.quick else STEPS)
+        for n in ((1, 4) if not options.quick else (1,))
     ]
     for row in result["reach"]:
         share = row["rate"] / result["bare"]
--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -45,6 +45,10 @@
         from quartzford.load.cli import main as load
 
         return load(arguments[1:])
+    if arguments[0] == "demo":
+        from quartzford.demo import main as demo
+
+        return demo(arguments[1:])
     from quartzford.operatorfile import OperatorError, load_operator
     from quartzford.serve import serve
 
@@ -55,6 +59,7 @@
     checking = commands.add_parser("check", help="say whether an operator's file can be used, and why not")
     checking.add_argument("file", metavar="FILE")
     commands.add_parser("load", help="drive a balancer with open-loop load, and measure", add_help=False)
+    commands.add_parser("demo", help="a balancer, nodos in trouble, a surge, and the report", add_help=False)
     options = parser.parse_args(arguments)
     try:
         if options.command == "check":
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -9,7 +9,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from quartzford import interface as io
 from quartzford.engine.clock import Clock
@@ -21,6 +21,12 @@
 NUMBERS = 2**32
 
 
+class Recorder(Protocol):
+    """Who is told of what is asked."""
+
+    def take(self, request: io.Request, size: int) -> None: ...
+
+
 class Engine:
     """Drives one decision module."""
 
@@ -29,6 +35,7 @@
         self.balancer = Balancer(settings, seed)
         self.calls: dict[int, Call] = {}
         self.counts: Counter[str] = Counter()  # outcomes and answers since the last summary
+        self.recorder: Recorder | None = None  # hears of each request taken
         self.watch: Callable[[], None] = lambda: None  # asks for the list, where the module says when
         self._number = 0
         self._adopt(settings)
@@ -124,9 +131,11 @@
             self._number = (self._number + 1) % NUMBERS
         return self._number
 
-    def arrived(self, call: Call, request: io.Request) -> None:
-        """A whole request has come, and is owed its one answer."""
+    def arrived(self, call: Call, request: io.Request, size: int = 0) -> None:
+        """A whole request has come, and is owed its one answer; size: of its body, in bytes."""
         self.calls[call.number] = call
+        if self.recorder is not None:
+            self.recorder.take(request, size)
         self.feed(request)
 
     def gone(self, call: Call) -> None:
--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -402,7 +402,7 @@
         self.front.clients[self] = None
         if request is None:
             return self.answer(exchange, 200 if self.front.ready() else 503)
-        self.front.engine.arrived(exchange, request)
+        self.front.engine.arrived(exchange, request, exchange.charged)
 
     # ---- answers
 
--- a/quartzford/load/cli.py
+++ b/quartzford/load/cli.py
@@ -1,7 +1,8 @@
 """`quartzford load`: drive a target, make and replay traces, compare two results.
 
-Exit status: 0 measured; 2 what was asked can't be done; 3 measured, but the instrument was not sound (late,
-out of descriptors or ports, or a request was answered twice); 130 interrupted, what was measured is printed.
+Exit status: 0 measured; 1 measured, and a rule was broken by the books; 2 what was asked can't be done; 3
+measured, but the instrument was not sound (late, out of descriptors or ports, a request was answered twice,
+no word of a worker); 130 interrupted, what was measured is printed.
 """
 
 from __future__ import annotations
@@ -9,12 +10,15 @@
 import argparse
 import json
 import sys
+import urllib.request
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from quartzford.load.clients import BRIEF, Kind, Manners
 from quartzford.load.driver import Target
+from quartzford.load.judge import judge
+from quartzford.load.page import page
 from quartzford.load.run import Load, play, rows_of, show
 from quartzford.load.shapes import ShapeError, read_shape
 from quartzford.load.trace import TraceError, read_trace, write_trace
@@ -76,12 +80,17 @@
         read_shape(options.shape)
     except ShapeError as error:
         raise AskError(f"--shape: {error}") from None
+    if options.think and not options.trace:
+        raise AskError("--think: goes with --trace")
+    if options.closed < 0 or options.closed and options.trace:
+        raise AskError("--closed: 0 or more clients, and no --trace")
     if not 0.1 <= options.speed <= 100 or options.workers < 1 or options.seconds <= 0:
         raise AskError("--speed: 0.1 to 100; --workers: 1 or more; --seconds: above 0")
     return Load(
         _target(options), options.shape, options.seconds, options.spacing, options.seed, options.workers,
         _kinds(options.mix), _pairs(options.tenants, "--tenants") if options.tenants else (), options.keys,
         options.size, _manners(options), rows, options.speed, options.late_ms, options.warm_up,
+        options.think, options.closed, bool(options.books), options.live,
     )  # fmt: skip
 
 
@@ -110,8 +119,15 @@
     add("--open", type=int, default=0, help="connections of each worker that stand before the first request")
     add("--trace", metavar="FILE", help="replay this instead of a shape")
     add("--speed", type=float, default=1.0, help="of the replay")
+    add(
+        "--think", action="store_true", help="replay: a tenant's key waits for its answers, its gaps are kept"
+    )
+    add("--closed", type=int, default=0, help="so many clients of each worker that wait, instead of arrivals")
     add("--make-trace", metavar="FILE", help="write the trace that the shape makes, and send nothing")
     add("--late-ms", type=float, default=5.0, help="p99 of its own lateness that is borne")
+    add("--books", metavar="HOST:PORT", help="stand-in nodos' padron: reconcile with what they saw")
+    add("--live", action="store_true", help="show the run while it goes on")
+    add("--html", metavar="FILE", help="write the result as a page")
     add("--json", metavar="FILE")
     return parser
 
@@ -151,6 +167,54 @@
     return 0
 
 
+def run(load: Load, live: bool) -> dict[str, Any]:
+    """Play it, shown while it goes on if that is wanted."""
+
+    def begun() -> None:
+        print("playing; Ctrl-C ends it", file=sys.stderr, flush=True)
+
+    if not live:
+        return play(load, begun)
+    try:
+        from quartzford.load.live import View
+    except ImportError:
+        raise AskError("--live: the package rich is wanted: pip install .[load]") from None
+    with View() as view:
+        return play(load, begun, view.show)
+
+
+def fetch(address: str) -> dict[str, Any]:
+    """The account of a stand-in fleet, from its padron's port."""
+    try:
+        with urllib.request.urlopen(f"http://{address}/books", timeout=30) as answer:
+            account: dict[str, Any] = json.load(answer)
+        if account["version"] != 1:
+            raise ValueError(f"version {account['version']!r}")
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        raise AskError(f"--books: {address}: {error}") from None
+    return account
+
+
+def reconcile(result: dict[str, Any], account: dict[str, Any], load: Load) -> None:
+    """Lay the clients' books beside the nodos', and put the verdict into the result."""
+    result["rules"] = judge(account, result["record"].pop("book"), load.kinds)
+
+
+def keep(result: dict[str, Any], as_json: str | None, as_html: str | None) -> None:
+    if as_json:
+        Path(as_json).write_text(json.dumps(result) + "\n")
+    if as_html:
+        Path(as_html).write_text(page(result), encoding="utf-8")
+
+
+def status_of(result: dict[str, Any]) -> int:
+    if result["interrupted"]:
+        return 130
+    if result["trouble"]:
+        return 3
+    return 1 if result["rules"] and not result["rules"]["kept"] else 0
+
+
 def main(arguments: list[str]) -> int:
     try:
         if arguments[:1] == ["compare"]:
@@ -161,7 +225,9 @@
             with open(options.make_trace, "w", encoding="utf-8") as file:
                 file.writelines(write_trace(rows_of(load)))
             return 0
-        result = play(load, lambda: print("playing; Ctrl-C ends it", file=sys.stderr, flush=True))
+        result = run(load, options.live)
+        if options.books:
+            reconcile(result, fetch(options.books), load)
     except KeyboardInterrupt:
         print("quartzford: interrupted before the first request", file=sys.stderr)
         return 130
@@ -169,6 +235,5 @@
         print(f"quartzford: {error}", file=sys.stderr)
         return 2
     print(show(result), flush=True)
-    if options.json:
-        Path(options.json).write_text(json.dumps(result) + "\n")
-    return 130 if result["interrupted"] else 3 if result["trouble"] else 0
+    keep(result, options.json, options.html)
+    return status_of(result)
--- a/quartzford/load/driver.py
+++ b/quartzford/load/driver.py
@@ -37,7 +37,7 @@
 
 
 class Due(NamedTuple):
-    """One request of the plan. offset: seconds from the start."""
+    """One request of the plan. offset: seconds from the start, or after what went before in its session."""
 
     offset: float
     kind: Kind
@@ -45,6 +45,7 @@
     key: str
     size: int
     left_s: float
+    session: str = ""  # where think times are kept: what follows in it comes after this one's end
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,9 +154,12 @@
 
     def __init__(
         self, target: Target, manners: Manners, plan: Iterator[Due], start: float, seed: int, name: str,
-        record: Record, warm_s: float = 0.0,
+        record: Record, warm_s: float = 0.0, sessions: dict[str, deque[Due]] | None = None,
+        closed: int = 0, until: float = 0.0,
     ) -> None:  # fmt: skip
+        """sessions: what follows in each; closed: so many clients that wait for their answers, to `until`."""
         self.measured_from = start + warm_s
+        self.sessions, self.closed, self.until = sessions or {}, closed, until
         self.target, self.manners, self.plan, self.start = target, manners, plan, start
         self.rng, self.name, self.record = random.Random(seed), name, record
         self.loop = asyncio.get_running_loop()
@@ -165,7 +169,7 @@
         self.limits: list[tuple[float, int, Try, Link | None]] = []  # when tries are given up
         self.open = self.count = self.live = 0
         self.finished: asyncio.Future[None] = self.loop.create_future()
-        self.following = next(plan, None)
+        self.following = None if closed else next(plan, None)
         self.starved = ""
         self.stopped = False
         self.connecting: set[asyncio.Task[None]] = set()
@@ -181,11 +185,30 @@
                 self.open -= 1
                 break
             self.idle.append(link)
+        if self.closed:
+            await asyncio.sleep(max(0.0, self.start - monotonic()))
+            for _ in range(self.closed):
+                self._next_of_closed()
         self._turn()
         await self.finished
         for link in self.idle:
             link.transport.abort()
 
+    def _next_of_closed(self) -> None:
+        due = next(self.plan, None)
+        if due is not None and not self.stopped and (now := monotonic()) < self.until:
+            self._start(due, now)
+
+    def _start(self, due: Due, planned: float) -> None:
+        """A request of the plan; a moment that has not come waits on the agenda."""
+        self.count += 1
+        self.live += 1
+        job = Job(due, planned, self.count)
+        if planned <= monotonic():
+            self._begin(job, planned)
+        else:
+            heapq.heappush(self.agenda, (planned, job.number, job))
+
     def stop(self) -> None:
         """Nothing new; what is open counts as not answered."""
         self.stopped = True
@@ -201,9 +224,7 @@
         now = monotonic()
         while self.following is not None and self.start + self.following.offset <= now:
             due, self.following = self.following, next(self.plan, None)
-            self.count += 1
-            self.live += 1
-            self._begin(Job(due, self.start + due.offset, self.count), self.start + due.offset)
+            self._start(due, self.start + due.offset)
         while self.agenda and self.agenda[0][0] <= now:
             planned, _, job = heapq.heappop(self.agenda)
             self._begin(job, planned)
@@ -211,7 +232,7 @@
             _, _, attempt, link = heapq.heappop(self.limits)
             if not attempt.over:
                 self._given_up(attempt, link)
-        if self.following is None and not self.live:
+        if self.following is None and not self.live and (not self.closed or now >= self.until):
             return self.finished.set_result(None)
         self._sleep(now)
 
@@ -274,7 +295,7 @@
         left = max(1.0, (attempt.job.end - attempt.planned) * 1000.0)
         head = (
             f"{method} {self.target.path} HTTP/1.1\r\nHost: {self.target.host}:{self.target.port}\r\n"
-            f"X-Correlation-Id: {self.name}{attempt.job.number:x}-{attempt.job.tries}\r\n"
+            f"X-Correlation-Id: {self._identity(attempt.job)}\r\n"
             f"X-Service-Class: {due.kind.name}\r\nX-Time-Left: {left:.0f}m\r\n{self.target.head}"
         )
         if due.tenant:
@@ -290,6 +311,9 @@
         link.ask(attempt, head.encode() + b"\r\n" + (b"x" * due.size if method == "POST" else b""))
         self._limit(attempt, link)
 
+    def _identity(self, job: Job) -> str:
+        return f"{self.name}{job.number:x}-{job.tries}"
+
     def serve_waiting(self) -> None:
         """A connection has come free, or has ended."""
         while self.waiting and not self.finished.done():
@@ -319,6 +343,15 @@
             link.give_up()
         self.ended(attempt, NO_ANSWER, 0.0)
 
+    def _follow(self, due: Due, now: float) -> None:
+        """What comes after a request's end: the next of its session, or of a closed loop's client."""
+        waiting = self.sessions.get(due.session) if due.session else None
+        if waiting and not self.stopped:
+            following = waiting.popleft()
+            self._start(following, now + following.offset)
+        if self.closed:
+            self.loop.call_soon(self._next_of_closed)
+
     def ended(self, attempt: Try, end: str, retry_after_s: float) -> None:
         """A try has ended; its request goes on or ends with it."""
         if attempt.over or self.finished.done():
@@ -328,7 +361,8 @@
         kind = job.due.kind
         measured = job.intended >= self.measured_from
         if measured:
-            self.record.tried(kind.name, end, now - attempt.sent if attempt.sent else 0.0)
+            spent = now - attempt.sent if attempt.sent else 0.0
+            self.record.tried(kind.name, end, spent, self._identity(job))
         following = None if self.stopped else next_try(
             kind, self.manners, end, job.tries, job.end - now, retry_after_s, self.rng
         )  # fmt: skip
@@ -336,6 +370,7 @@
             heapq.heappush(self.agenda, (now + following.wait_s, job.number, job))
         else:
             self.live -= 1
+            self._follow(job.due, now)
             second = int(job.intended - self.start)
             if not measured:
                 self.record.counts["warm-up"] += 1
--- a/quartzford/load/record.py
+++ b/quartzford/load/record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from typing import Any
@@ -13,6 +14,7 @@
 LEAST_US, MOST_US, DIGITS = 1, 120_000_000, 3
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 99.99)
 WINDOW_S = 10
+STEPS = 20  # of the latencies kept by the second: so many to a doubling, some 3.5% each
 
 
 def histogram() -> Any:
@@ -37,14 +39,18 @@
         self.counts: Counter[str] = Counter()
         self.asked: dict[int, float] = {}  # second of the intended send: worth asked, worth within the aim
         self.got: dict[int, float] = {}
+        self.by_second: dict[int, Counter[int]] = {}  # second: latencies' steps, of what was served
+        self.book: list[tuple[str, str, str]] | None = None  # where kept: id of the try, class, end
         self.by_class: dict[str, list[float]] = {}
         self.by_tenant: dict[str, list[float]] = {}
 
     def sent(self, late_s: float) -> None:
         self.late.record_value(max(LEAST_US, min(MOST_US, round(late_s * 1e6))))
 
-    def tried(self, name: str, end: str, service_s: float) -> None:
+    def tried(self, name: str, end: str, service_s: float, identity: str = "") -> None:
         self.tries[end] += 1
+        if self.book is not None:
+            self.book.append((identity, name, end))
         if end == SERVED:
             self._into(self.service, name, service_s)
 
@@ -55,6 +61,7 @@
         worth = 0.0
         if end == SERVED:
             self._into(self.latency, name, latency_s)
+            self.by_second.setdefault(second, Counter())[step_of(latency_s)] += 1
             if latency_s <= kind.aim_s:
                 worth = kind.worth
             elif latency_s <= kind.deadline_s:
@@ -83,7 +90,8 @@
             "ends": dict(self.ends), "tries": dict(self.tries), "counts": dict(self.counts),
             "asked": {str(s): v for s, v in self.asked.items()},
             "got": {str(s): v for s, v in self.got.items()},
-            "by_class": self.by_class, "by_tenant": self.by_tenant,
+            "by_class": self.by_class, "by_tenant": self.by_tenant, "book": self.book or [],
+            "by_second": {str(s): {str(k): n for k, n in c.items()} for s, c in self.by_second.items()},
         }  # fmt: skip
 
     def merge(self, dumped: dict[str, Any]) -> None:
@@ -97,6 +105,10 @@
         for seconds, name in ((self.asked, "asked"), (self.got, "got")):
             for second, value in dumped[name].items():
                 seconds[int(second)] = seconds.get(int(second), 0.0) + value
+        for text, counts in dumped.get("by_second", {}).items():
+            self.by_second.setdefault(int(text), Counter()).update({int(k): n for k, n in counts.items()})
+        if dumped.get("book"):
+            self.book = [*(self.book or []), *(tuple(row) for row in dumped["book"])]
         for table, name in ((self.by_class, "by_class"), (self.by_tenant, "by_tenant")):
             for key, pair in dumped[name].items():
                 have = table.setdefault(key, [0.0, 0.0])
@@ -133,6 +145,51 @@
             **{name: min(values, default=0.0) for name, values in shares.items()},
         }
 
+    def recent(self, count: int) -> dict[int, tuple[float, float, dict[int, int]]]:
+        """The last seconds as they stand: worth asked, worth got, latencies' steps."""
+        last = max(self.asked, default=0)
+        return {
+            s: (self.asked.get(s, 0.0), self.got.get(s, 0.0), dict(self.by_second.get(s, {})))
+            for s in range(max(0, last - count + 1), last + 1)
+        }
+
+    def seconds(self) -> list[dict[str, float]]:
+        """What became of the requests due in each second: worth asked and got, served, p50 and p99 in ms."""
+        rows = []
+        for second in sorted(self.asked):
+            steps = self.by_second.get(second, Counter())
+            asked, got = self.asked[second], self.got.get(second, 0.0)
+            rows.append({
+                "second": second, "goodput": round(got / asked, 4) if asked else 0.0,
+                "served": sum(steps.values()), "p50": quantile_ms(steps, 0.5),
+                "p99": quantile_ms(steps, 0.99),
+            })  # fmt: skip
+        return rows
+
+
+def step_of(latency_s: float) -> int:
+    return round(STEPS * math.log2(max(1.0, latency_s * 1e6)))
+
+
+def quantile_ms(steps: Counter[int], q: float) -> float:
+    """Of latencies kept in steps: right to within half a step, 1.8%."""
+    left = q * sum(steps.values())
+    for step in sorted(steps):
+        left -= steps[step]
+        if left <= 0:
+            return float(round(2.0 ** (step / STEPS) / 1000.0, 3))
+    return 0.0
+
+
+CURVE = (0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.95, 99.99, 99.999)
+
+
+def curve(one: Any) -> list[tuple[float, float]]:
+    """A histogram's latency by percentile, in milliseconds."""
+    if not one.get_total_count():
+        return []
+    return [(p, one.get_value_at_percentile(p) / 1000.0) for p in CURVE]
+
 
 def figures(one: Any) -> dict[str, float]:
     """A histogram's percentiles, mean and largest, in milliseconds."""
--- a/quartzford/load/run.py
+++ b/quartzford/load/run.py
@@ -8,23 +8,29 @@
 import random
 import resource
 import signal
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from itertools import repeat
 from multiprocessing.connection import Connection, wait
 from time import monotonic
 from typing import Any
+from zlib import crc32
 
 import uvloop
 
 from quartzford.load.clients import BRIEF, Kind, Manners
 from quartzford.load.driver import Driver, Due, Target
-from quartzford.load.record import Record, figures
+from quartzford.load.record import Record, curve, figures
 from quartzford.load.shapes import fixed, poisson, read_shape
 from quartzford.load.trace import Row
 
 LEAD_S = 0.5  # from the workers' readiness to the first arrival
 LATE_MS = 5.0  # a generator whose p99 is over this was late, and says so
 STOP_S = 5.0
+TELL_S = 0.5
+SHOWN = 4  # seconds that who watches is told of
+Progress = Callable[[list[dict[str, Any]]], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +52,39 @@
     speed: float = 1.0
     late_ms: float = LATE_MS
     warm_s: float = 0.0  # what is due before this is played and not measured
+    think: bool = False  # a trace's requests of one tenant and key follow each other, their gaps kept
+    closed: int = 0  # so many clients of each worker that wait for their answers, instead of arrivals
+    book: bool = False  # keep how each try ended, by its id
+    watched: bool = False  # workers tell how far they are
+
+
+def _due(load: Load, row: Row, kinds: dict[str, Kind], offset: float, session: str = "") -> Due:
+    kind = kinds.get(row.service_class) or Kind(row.service_class)
+    left = row.left_ms / 1000.0 if row.left_ms else kind.deadline_s
+    return Due(offset, kind, row.tenant, row.key, row.size, left, session)
+
+
+def sessions(load: Load, worker: int) -> tuple[list[Due], dict[str, deque[Due]]]:
+    """A trace with think times kept: the first request of each session, and what follows in each.
+
+    A session is what one tenant's key asked. Its first request comes at its offset over the speed; each
+    further one so long after the end of the one before as lay between the two in the trace, at any speed.
+    """
+    kinds = {kind.name: kind for kind in load.kinds}
+    firsts: list[Due] = []
+    following: dict[str, deque[Due]] = {}
+    last: dict[str, float] = {}
+    for number, row in enumerate(load.rows):
+        session = f"{row.tenant}/{row.key}" if row.key else f"#{number}"
+        if crc32(session.encode()) % load.workers != worker:
+            continue
+        if session in last:
+            gap = row.offset - last[session]
+            following.setdefault(session, deque()).append(_due(load, row, kinds, gap, session))
+        else:
+            firsts.append(_due(load, row, kinds, row.offset / load.speed, session))
+        last[session] = row.offset
+    return firsts, following
 
 
 def plan(load: Load, worker: int) -> Iterator[Due]:
@@ -53,16 +92,14 @@
     if load.rows:
         kinds = {kind.name: kind for kind in load.kinds}
         for row in load.rows[worker :: load.workers]:
-            kind = kinds.get(row.service_class) or Kind(row.service_class)
-            left = row.left_ms / 1000.0 if row.left_ms else kind.deadline_s
-            yield Due(row.offset / load.speed, kind, row.tenant, row.key, row.size, left)
+            yield _due(load, row, kinds, row.offset / load.speed)
         return
     rng = random.Random(f"{load.seed}/{worker}")
     shape = read_shape(load.shape)
-    if load.spacing == "fixed":
-        moments: Iterator[float] = (
-            at for n, at in enumerate(fixed(shape, load.seconds)) if n % load.workers == worker
-        )
+    if load.closed:
+        moments: Iterator[float] = repeat(0.0)
+    elif load.spacing == "fixed":
+        moments = (at for n, at in enumerate(fixed(shape, load.seconds)) if n % load.workers == worker)
     else:
         moments = poisson(shape.part(load.workers), load.seconds, rng)
     names, shares = load.kinds, [kind.share for kind in load.kinds]
@@ -85,6 +122,17 @@
         yield due.offset, due.kind.name, due.tenant, due.key, due.size, due.left_s
 
 
+async def tell(driver: Driver, pipe: Connection) -> None:
+    """How far a worker is, now and then, for who watches."""
+    record = driver.record
+    while True:
+        await asyncio.sleep(TELL_S)
+        pipe.send({
+            "progress": True, "sent": driver.count, "live": driver.live, "ends": dict(record.ends),
+            "recent": record.recent(SHOWN),
+        })  # fmt: skip
+
+
 def work(load: Load, worker: int, pipe: Connection) -> None:
     """A worker process: says that it is ready, hears when to start, sends its record."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent hears it, and says what follows
@@ -95,13 +143,24 @@
         start = await loop.run_in_executor(None, pipe.recv)
         record = Record(load.kinds)
         name, seed = f"{load.seed:x}.{worker:x}.", load.seed * 1000 + worker
-        driver = Driver(load.target, load.manners, plan(load, worker), start, seed, name, record, load.warm_s)
+        record.book = [] if load.book else None
+        due, following = plan(load, worker), None
+        if load.think:
+            firsts, following = sessions(load, worker)
+            due = iter(firsts)
+        driver = Driver(
+            load.target, load.manners, due, start, seed, name, record, load.warm_s, following, load.closed,
+            start + load.seconds,
+        )  # fmt: skip
         loop.add_reader(pipe.fileno(), driver.stop)
+        telling = loop.create_task(tell(driver, pipe)) if load.watched else None
         # A full collection stops the generator for a millisecond; what a run makes is freed by counts anyway.
         gc.collect()
         gc.freeze()
         gc.set_threshold(100_000, 50, 1000)
         await driver.run()
+        if telling is not None:
+            telling.cancel()
         loop.remove_reader(pipe.fileno())
         usage = resource.getrusage(resource.RUSAGE_SELF)
         pipe.send({
@@ -112,8 +171,13 @@
     uvloop.run(main())
 
 
-def play(load: Load, started: Callable[[], None] = lambda: None) -> dict[str, Any]:
-    """Play it, and give the result; on SIGINT what was measured. started: all workers were told."""
+def play(
+    load: Load, started: Callable[[], None] = lambda: None, progress: Progress = lambda told: None
+) -> dict[str, Any]:
+    """Play it, and give the result; on SIGINT what was measured.
+
+    started: all workers were told; progress: hears twice a second what each worker last told.
+    """
     context = mp.get_context("spawn")
     pipes: list[Connection] = []
     processes = []
@@ -125,6 +189,8 @@
         pipes.append(ours)
         processes.append(process)
     interrupted = False
+    parts: list[dict[str, Any]] = []
+    told: list[dict[str, Any]] = [{} for _ in pipes]
     try:
         for pipe in pipes:
             pipe.recv()
@@ -136,12 +202,19 @@
             left = list(pipes)
             while left:
                 for ready in wait(left):
-                    left.remove(ready)  # type: ignore[arg-type]
+                    number = pipes.index(ready)  # type: ignore[arg-type]
+                    part = _part_of(pipes[number])
+                    if part is not None and part.get("progress"):
+                        told[number] = part
+                        continue
+                    left.remove(pipes[number])
+                    parts += [part] if part is not None else []
+                progress([one for one in told if one])
         except KeyboardInterrupt:
             interrupted = True
-            for pipe in pipes:
+            for pipe in left:
                 pipe.send("stop")
-        parts = [part for part in map(_part_of, pipes) if part is not None]
+            parts += [part for part in map(_last_of, left) if part is not None]
         return summary(load, parts, monotonic() - start, interrupted, load.workers - len(parts))
     finally:
         for process in processes:
@@ -159,6 +232,13 @@
     return part
 
 
+def _last_of(pipe: Connection) -> dict[str, Any] | None:
+    part = _part_of(pipe)
+    while part is not None and part.get("progress"):
+        part = _part_of(pipe)
+    return part
+
+
 def summary(
     load: Load, parts: list[dict[str, Any]], spent_s: float, interrupted: bool, silent: int
 ) -> dict[str, Any]:
@@ -197,6 +277,10 @@
         "tries": dict(sorted(record.tries.items())),
         "goodput": {name: round(value, 4) for name, value in record.goodput().items()},
         "cpu_s": [round(part["cpu_s"], 2) for part in parts],
+        "by_second": record.seconds(),
+        "curve": {"all": curve(record.whole(record.latency))}
+        | {name: curve(one) for name, one in sorted(record.latency.items())},
+        "rules": {},
         "record": record.dump(),
     }  # fmt: skip
 
@@ -215,5 +299,12 @@
         lines.append(f"the generator's own lateness (ms): {said}")
     lines.append("ends: " + ", ".join(f"{name} {count}" for name, count in result["ends"].items()))
     lines.append("goodput: " + ", ".join(f"{name} {value:.3f}" for name, value in result["goodput"].items()))
+    if result["rules"]:
+        verdict = result["rules"]
+        lines.append(
+            f"books: {verdict['runs']} runs at the nodos, {verdict['drains']} drains, latest send after one"
+            f" {verdict['latest_send_after_drain_ms']} ms, cold lives {verdict['cold']}"
+        )
+        lines.append("rules: " + ", ".join(f"{name} {count}" for name, count in verdict["rules"].items()))
     lines += [f"! {text}" for text in result["trouble"]]
     return "\n".join(lines)
--- a/quartzford/load/trace.py
+++ b/quartzford/load/trace.py
@@ -43,13 +43,18 @@
     return quote(text, safe="/:=@,;+*!$&'()[]~ ") or "-"
 
 
+def line_of(row: Row) -> str:
+    """A row as its line, with the line break."""
+    words = (_word(row.service_class), _word(row.tenant), _word(row.key))
+    return f"{round(row.offset * 1e6)}\t{words[0]}\t{words[1]}\t{words[2]}\t{row.size}\t{row.left_ms:g}\n"
+
+
 def write_trace(rows: Iterable[Row]) -> Iterator[str]:
     """The lines of a trace, each with its line break."""
     yield f"{HEAD}{VERSION}\n"
     count = 0
     for row in rows:
-        words = (_word(row.service_class), _word(row.tenant), _word(row.key))
-        yield f"{round(row.offset * 1e6)}\t{words[0]}\t{words[1]}\t{words[2]}\t{row.size}\t{row.left_ms:g}\n"
+        yield line_of(row)
         count += 1
     yield f"{END}{count}\n"
 
--- a/quartzford/operatorfile.py
+++ b/quartzford/operatorfile.py
@@ -55,12 +55,22 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TraceSettings:
+    """Section [trace]: record what is asked, to be played again by `quartzford load --trace`."""
+
+    file: str
+    keys: str = "hashed"  # or plain, or none
+    most_mb: float = 256.0  # recording ends there
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """The whole file. config: the platform-form configuration, unless EDGE_CONFIG names it."""
 
     config: str = ""
     extproc: ExtprocSettings | None = None
+    trace: TraceSettings | None = None
 
 
 Check = Callable[[str, Any], Any]
@@ -140,6 +150,22 @@
 }
 
 
+def _one_of(*names: str) -> Check:
+    def check(key: str, value: Any) -> str:
+        if value not in names:
+            raise OperatorError(f"{key}: {value!r} is not one of {', '.join(names)}")
+        return str(value)
+
+    return check
+
+
+TRACE: dict[str, Check] = {
+    "file": _text,
+    "keys": _one_of("hashed", "plain", "none"),
+    "most_mb": _number(0.001, 1_000_000),
+}
+
+
 def _table(key: str, value: Any, checks: dict[str, Check]) -> dict[str, Any]:
     if not isinstance(value, dict):
         raise OperatorError(f"{key}: {value!r} is not a table")
@@ -157,13 +183,20 @@
     return ExtprocSettings(**table)
 
 
+def _trace(key: str, value: Any) -> TraceSettings:
+    table = _table(key, value, TRACE)
+    if not table.get("file"):
+        raise OperatorError(f"{key}.file: missing")
+    return TraceSettings(**table)
+
+
 def read_operator(text: str) -> OperatorSettings:
     """The settings in a file's text; OperatorError where it can't be used."""
     try:
         table = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise OperatorError(f"not TOML: {error}") from None
-    return OperatorSettings(**_table("", table, {"config": _text, "extproc": _extproc}))
+    return OperatorSettings(**_table("", table, {"config": _text, "extproc": _extproc, "trace": _trace}))
 
 
 def load_operator(path: str) -> OperatorSettings:
@@ -181,7 +214,8 @@
         for name in ("listen", "workers", "most_streams", "token_key_file"):
             if getattr(old.extproc, name) != getattr(new.extproc, name):
                 return f"extproc.{name}"
-    return ""
+    return "trace" if old.trace != new.trace else ""
 
 
+assert {f.name for f in fields(TraceSettings)} == set(TRACE)
 assert {f.name for f in fields(ExtprocSettings)} == set(EXTPROC)
--- /dev/null
+++ b/quartzford/recording.py
@@ -0,0 +1,96 @@
+"""The access log as a trace: what was asked of this balancer, so that a morning can be played again.
+
+The format is that of load/trace.py. Lines are handed to a thread that writes them: neither the event loop nor
+a request ever waits for the disk, and a disk that fails ends the recording, not the service. What is written
+holds no body and no correlation id; keys are hashed under a secret of this recording unless the operator
+wants them plain or none at all.
+"""
+
+from __future__ import annotations
+
+import os
+import queue
+import threading
+from hashlib import blake2b
+from pathlib import Path
+
+from quartzford import interface as io
+from quartzford.engine import Clock, Log
+from quartzford.load.trace import END, HEAD, VERSION, Row, line_of
+
+KEYS = ("hashed", "plain", "none")
+WAITING = 65_536  # lines that may wait for the disk
+FLUSH_S = 0.5
+
+
+class Recorder:
+    """Writes each request that the engine takes. keys: one of KEYS; most_bytes: the file's bound."""
+
+    def __init__(self, path: str, keys: str, most_bytes: int, clock: Clock, log: Log) -> None:
+        """OSError if the file can't be made."""
+        self.clock, self.log, self.keys, self.most_bytes = clock, log, keys, most_bytes
+        self.file = Path(path).open("w", encoding="ascii", newline="\n")  # noqa: SIM115
+        self.file.write(f"{HEAD}{VERSION}\n")
+        self.secret = os.urandom(16)
+        self.begun = clock.now()
+        self.count = self.bytes = 0
+        self.trouble = ""  # why it ended before the service did
+        self.over = False
+        self.lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self.thread = threading.Thread(target=self._write, name="trace", daemon=True)
+        self.thread.start()
+        clock.call_later(FLUSH_S, self._look)
+
+    def take(self, request: io.Request, size: int) -> None:
+        """A request has been taken; size: of its body, in bytes."""
+        if self.over:
+            return
+        key = request.key
+        if self.keys == "none":
+            key = ""
+        elif key and self.keys == "hashed":
+            key = blake2b(key.encode(), digest_size=8, key=self.secret).hexdigest()
+        row = Row(
+            self.clock.now() - self.begun, request.service_class or "-", request.tenant, key, size,
+            request.budget_ms,
+        )  # fmt: skip
+        line = line_of(row)
+        if self.bytes + len(line) > self.most_bytes:
+            return self._end("the file has its full size")
+        if self.lines.qsize() >= WAITING:
+            return self._end("the disk does not keep up")
+        self.count += 1
+        self.bytes += len(line)
+        self.lines.put(line)
+
+    def _end(self, why: str) -> None:
+        """No more; what was taken so far is a whole trace."""
+        if not self.over:
+            self.over = True
+            self.lines.put(f"{END}{self.count}\n")
+            self.lines.put(None)
+            if why:
+                self.log.line("trace", f"{why}; recording has ended with {self.count} requests")
+
+    def _look(self) -> None:
+        if self.trouble and not self.over:
+            self.over = True
+            self.log.line("trace", f"{self.trouble}; recording has ended")
+        if not self.over:
+            self.clock.call_later(FLUSH_S, self._look)
+
+    def close(self) -> None:
+        """The service ends: what waits is written."""
+        self._end("")
+        self.thread.join(5.0)
+
+    def _write(self) -> None:
+        """The thread: lines in batches, until the end."""
+        try:
+            with self.file:
+                while (line := self.lines.get()) is not None:
+                    self.file.write(line)
+                    if self.lines.empty():
+                        self.file.flush()
+        except OSError as error:
+            self.trouble = str(error)
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -11,6 +11,7 @@
 from quartzford.config import Config, ConfigError, load_config
 from quartzford.node import Node, start_listening
 from quartzford.operatorfile import OperatorError, OperatorSettings, load_operator, takes_restart
+from quartzford.recording import Recorder
 
 
 def config_path(operator: OperatorSettings, path: str) -> str:
@@ -29,10 +30,22 @@
         self.operator = load_operator(path)
         config = load_config(config_path(self.operator, path))
         self.node = Node(config, loop)
+        self.recorder = self._recorder(path)
         self.extproc: Any = None
         if self.operator.extproc is not None:
             self.extproc = self._extproc(config)
 
+    def _recorder(self, path: str) -> Recorder | None:
+        settings, node = self.operator.trace, self.node
+        if settings is None:
+            return None
+        try:
+            where, most = str(Path(path).parent / settings.file), int(settings.most_mb * 1e6)
+            node.engine.recorder = one = Recorder(where, settings.keys, most, node.clock, node.log)
+        except OSError as error:
+            raise OperatorError(f"trace.file: {error}") from None
+        return one
+
     def _extproc(self, config: Config) -> Any:
         # Only here: gRPC and its messages are an extra, and cost the platform's run nothing.
         from quartzford.backends.caller import CallerBackend
@@ -78,6 +91,8 @@
         if self.extproc is not None:
             await self.extproc.stop()
         await self.node.finished
+        if self.recorder is not None:
+            self.recorder.close()
 
 
 async def serve(path: str) -> None:
--- a/tests/test_extproc_example.py
+++ b/tests/test_extproc_example.py
@@ -16,8 +16,8 @@
 from envoy.extensions.upstreams.http.v3 import http_protocol_options_pb2  # noqa: F401
 from google.protobuf import json_format
 
-from bench.common import CLASSES
 from quartzford.operatorfile import HEADERS, load_operator
+from standins.site import CLASSES
 
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
 TEXT = (DEPLOY / "envoy.example.yaml").read_text()
--- a/tests/test_extproc_process.py
+++ b/tests/test_extproc_process.py
@@ -219,6 +219,9 @@
 
 GOOD = '[extproc]\nlisten = "127.0.0.1:9090"\n'
 BAD = [
+    ("[trace]", "trace.file: missing"),
+    ('[trace]\nfile = "t"\nkeys = "some"', "trace.keys: 'some' is not one of hashed, plain, none"),
+    ('[trace]\nfile = "t"\nmost_mb = 0', "trace.most_mb"),
     ("[extproc", "not TOML"),
     ("extproc = 3", "extproc: 3 is not a table"),
     ("[extproc]\nworkers = 2", "extproc.listen: missing"),
--- a/tests/test_load_plan.py
+++ b/tests/test_load_plan.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import io
 import itertools
 import random
+import re
 from typing import Any
+from xml.etree import ElementTree
 
 import pytest
 from hypothesis import given
 from hypothesis import settings as budget
 from hypothesis import strategies as st
+from rich.console import Console
 
 from quartzford.load.cli import compare
 from quartzford.load.clients import (
@@ -25,8 +29,10 @@
     patience_s,
 )  # fmt: skip
 from quartzford.load.driver import Target
+from quartzford.load.live import View, bars
+from quartzford.load.page import page
 from quartzford.load.record import Record, figures, histogram
-from quartzford.load.run import Load, plan, rows_of, show, summary
+from quartzford.load.run import Load, plan, rows_of, sessions, show, summary
 from quartzford.load.shapes import ShapeError, fixed, poisson, read_shape
 from quartzford.load.trace import Row, TraceError, read_trace, write_trace
 
@@ -232,3 +238,80 @@
     assert bad["warm_up"] == 3 and bad["late"] and len(bad["trouble"]) == 4
     text = compare(fine, bad)
     assert "latency_ms p99" in text and text.count("! B:") == 4 and "! A:" not in text
+
+
+def test_latencies_by_the_second_are_merged_and_close() -> None:
+    record, other = Record(BRIEF), Record(BRIEF)
+    for n in range(1, 1001):
+        (record if n % 2 else other).ended("consulta", "", SERVED, n % 2, n / 1000)
+    record.merge(other.dump())
+    rows = record.seconds()
+    assert [row["second"] for row in rows] == [0, 1] and sum(row["served"] for row in rows) == 1000
+    for row in rows:
+        assert row["p50"] == pytest.approx(500, rel=0.03) and row["p99"] == pytest.approx(990, rel=0.03)
+        assert row["goodput"] == pytest.approx(0.5, abs=0.01)  # the aim is 500 ms
+
+
+# ---- the page and the live view
+
+
+def result_of(record: Record) -> dict[str, Any]:
+    part: dict[str, Any] = {"record": record.dump(), "starved": "", "sent": 500, "live": 0, "cpu_s": 1.0}
+    return summary(Load(Target("h", 1)), [part], 10.0, False, 0)
+
+
+def test_the_page_stands_alone_and_says_what_the_result_says() -> None:
+    result = result_of(recorded(1))
+    result["trouble"] = ["a <script> was late"]
+    result["rules"] = {"rules": {"drain breaches": 3, "cold breaches": 0}, "kept": False}
+    text = page(result)
+    svgs = re.findall(r"<svg.*?</svg>", text, re.DOTALL)
+    assert len(svgs) == 3
+    for svg in svgs:
+        root = ElementTree.fromstring(svg)
+        assert root.findall("polyline"), "a chart with nothing in it"
+    assert "a &lt;script&gt; was late" in text and "<script" not in text
+    assert not re.search(r"(src|href)=|https?://|@import|url\(", text)
+    for name in ("consulta", "reserva", "cobro", "worst 10s", "drain breaches"):
+        assert name in text
+    assert f"{result['latency_ms']['all']['p99']:g}" in text and "broken" in text
+
+
+def test_a_page_of_nothing_is_a_page() -> None:
+    assert "nothing was measured" in page(result_of(Record(BRIEF)))
+
+
+def test_the_live_view_adds_up_its_workers() -> None:
+    first, second = recorded(1), recorded(2)
+    told = [{"sent": 10, "live": 1, "ends": dict(r.ends), "recent": r.recent(4)} for r in (first, second)]
+    out = io.StringIO()
+    view = View(Console(file=out, width=100, force_terminal=False))
+    view.notes.append("drain: s0001")
+    view.show([])
+    view.show(told)
+    Console(file=out, width=100).print(view.table())
+    assert view.sums.sent == 20 and sorted(view.sums.seconds) == [16, 17, 18, 19]
+    goodput, served, p50, p99 = view.sums.row(18)
+    assert served == sum(first.by_second[18].values()) + sum(second.by_second[18].values())
+    assert 0 < goodput < 1 and p50 < p99
+    assert "drain: s0001" in out.getvalue() and "consulta served" in out.getvalue()
+
+
+def test_bars_span_from_none_to_all() -> None:
+    assert bars([0.0, 0.5, 1.0, 2.0], 1.0) == " =@@" and bars([0.0], 0.0) == " "
+
+
+# ---- sessions
+
+
+def test_sessions_are_whole_on_one_worker_and_keep_their_gaps() -> None:
+    rows = tuple(Row(n * 0.1, "consulta", "t", f"k{n % 7}" if n % 10 else "") for n in range(200))
+    load = Load(Target("h", 1), rows=rows, speed=5.0, workers=3, think=True)
+    firsts, gaps = 0, []
+    for worker in range(3):
+        mine, following = sessions(load, worker)
+        firsts += len(mine)
+        assert {due.session for due in mine} >= set(following)
+        gaps += [due.offset for dues in following.values() for due in dues]
+    assert firsts + len(gaps) == 200 and firsts == 20 + 7
+    assert min(gaps) >= 0.7 - 1e-9  # a key comes every 7 rows, 0.1 s each: not divided by the speed
--- a/tests/test_load_sockets.py
+++ b/tests/test_load_sockets.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -21,8 +22,10 @@
 
 from quartzford.load.clients import SINGLE, Kind, Manners
 from quartzford.load.driver import Driver, Target
+from quartzford.load.live import Sums
 from quartzford.load.record import Record, figures
 from quartzford.load.run import Load, plan, play
+from quartzford.load.trace import Row
 
 ROOT = Path(__file__).resolve().parent.parent
 ONE = (Kind("consulta", deadline_s=4.0, aim_s=1.0),)
@@ -178,6 +181,42 @@
     assert result["trouble"] == ["1 workers gave no result"] and result["ended"] == 0
 
 
+def test_a_closed_loop_waits_for_its_answers() -> None:
+    with server("constant:50") as (target, _):
+        load = Load(target, seconds=2.0, kinds=ONE, manners=SINGLE, closed=4, late_ms=1e6)
+        result = play(load)
+    # Four clients, 50 ms each: 160 at most, whatever the machine.
+    assert 20 < result["ended"] == result["sent"] <= 164
+    assert result["latency_ms"]["all"]["p50"] >= 49
+
+
+def test_think_times_are_kept_whatever_the_speed() -> None:
+    """One key's second request waits for the first's answer and 300 ms more; another key's does not."""
+    rows = (Row(0.0, "consulta", "t", "a"), Row(0.1, "consulta", "t", "b"), Row(0.3, "consulta", "t", "a"))
+    with server("constant:200") as (target, _):
+        load = Load(target, kinds=ONE, manners=SINGLE, rows=rows, speed=10.0, think=True, late_ms=1e6)
+        thinking = play(load)
+        plain = play(replace(load, think=False))
+    assert thinking["ended"] == plain["ended"] == 3
+    assert thinking["seconds"] >= 0.7  # 200 ms, 300 ms, 200 ms
+    assert plain["seconds"] < thinking["seconds"]
+    assert thinking["latency_ms"]["all"]["max"] < 1000  # from the moment at which it was due, not the first's
+
+
+def test_who_watches_is_told_how_far_the_workers_are() -> None:
+    seen: list[Any] = []
+    with server("none") as (target, _):
+        load = Load(target, "constant:200", 2.0, kinds=ONE, manners=SINGLE, late_ms=1e6, watched=True)
+        result = play(load, progress=seen.append)
+    told = [one for parts in seen for one in parts]
+    assert told and result["ended"] == result["sent"]
+    counts = [one["sent"] for one in told]
+    assert counts == sorted(counts) and 0 < counts[-1] <= result["sent"]
+    sums = Sums()
+    sums.add(seen[-1])
+    assert sums.sent == counts[-1] and sum(sums.row(s)[1] for s in sums.seconds) > 0
+
+
 def command(*arguments: str, **options: Any) -> subprocess.Popen[bytes]:
     return subprocess.Popen(
         [sys.executable, "-m", "quartzford", "load", *arguments], cwd=ROOT, stdout=subprocess.PIPE,
@@ -223,6 +262,9 @@
         (["--mix", "a=b"], b"--mix"),
         (["--patience", "0-5"], b"--patience"),
         (["--trace", "/nonexistent"], b"--trace"),
+        (["--think"], b"--think"),
+        (["--closed", "-1"], b"--closed"),
+        (["--books", "127.0.0.1:1", "--seconds", "0.1"], b"--books"),
         (["compare", "one"], b"two results"),
         (["compare", "/nonexistent", "/nonexistent"], b"compare: /nonexistent"),
     ],
@@ -230,6 +272,7 @@
 def test_what_cannot_be_done_is_one_line(arguments: list[str], reason: bytes) -> None:
     process = command(*arguments)
     out, errors = process.communicate(timeout=60)
+    errors = errors.replace(b"playing; Ctrl-C ends it\n", b"")
     assert process.returncode == 2 and reason in errors and errors.count(b"\n") == 1 and not out
 
 
--- /dev/null
+++ b/tests/test_recording.py
@@ -0,0 +1,168 @@
+"""Traces recorded from a running balancer: whole, replayable, and never in the service's way."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from peers import SETTINGS, read_message, run, until
+
+from quartzford import interface as io
+from quartzford.engine import LoopClock
+from quartzford.load.driver import Target
+from quartzford.load.run import Load, plan
+from quartzford.load.trace import Row, read_trace
+from quartzford.recording import Recorder
+from standins.nodo import Nodo, fleet
+from standins.site import free_port
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class Said:
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def line(self, topic: str, text: str) -> None:
+        self.lines.append(f"{topic}: {text}")
+
+    def trouble(self, where: str) -> None:
+        self.lines.append(where)
+
+
+def recorder(path: Path, keys: str = "hashed", most: int = 10**9) -> tuple[Recorder, Said]:
+    said = Said()
+    return Recorder(str(path), keys, most, LoopClock(asyncio.get_running_loop()), said), said
+
+
+def asked(number: int, key: str = "") -> io.Request:
+    return io.Request(number, "consulta", 2000.0, "lima", key)
+
+
+def rows_in(path: Path) -> list[Row]:
+    with path.open(encoding="utf-8") as file:
+        return list(read_trace(file))
+
+
+@pytest.mark.parametrize("keys", ["hashed", "plain", "none"])
+def test_what_is_taken_is_in_the_trace_and_keys_as_the_operator_wants(tmp_path: Path, keys: str) -> None:
+    @run
+    async def test() -> None:
+        one, _ = recorder(tmp_path / "t", keys)
+        for number in range(50):
+            one.take(asked(number, f"user-{number % 5}"), number)
+        one.close()
+
+    test()
+    rows = rows_in(tmp_path / "t")
+    assert [row.size for row in rows] == list(range(50)) and {row.left_ms for row in rows} == {2000.0}
+    assert [row.offset for row in rows] == sorted(row.offset for row in rows)
+    names = {row.key for row in rows}
+    assert len(names) == (1 if keys == "none" else 5)
+    assert ("user" in (tmp_path / "t").read_text()) == ("user-1" in names) == (keys == "plain")
+
+
+@run
+async def test_a_full_file_ends_the_recording_with_a_whole_trace() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "t"
+        one, said = recorder(path, most=200)
+        for number in range(50):
+            one.take(asked(number), 0)
+        one.close()
+        rows = rows_in(path)
+        assert 0 < len(rows) < 50 and said.lines == [
+            f"trace: the file has its full size; recording has ended with {len(rows)} requests"
+        ]
+
+
+@pytest.mark.skipif(not os.path.exists("/dev/full"), reason="no device that is full")
+def test_a_disk_that_fails_ends_the_recording_and_says_so() -> None:
+    @run
+    async def test() -> None:
+        one, said = recorder(Path("/dev/full"))
+        one.take(asked(1), 0)
+        await until(lambda: said.lines)
+        assert "No space left" in said.lines[0] and one.over
+        one.take(asked(2), 0)  # nothing is thrown, nothing waits
+        one.close()
+
+    test()
+
+
+def test_a_balancer_records_what_it_was_asked_and_the_trace_can_be_played(tmp_path: Path) -> None:
+    async def test() -> None:
+        nodos, _, registry = await fleet(2, lambda n, books: Nodo(f"s{n}", books))
+        config: dict[str, Any] = {
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "5", "known": registry.whole(),
+            "discovery": f"127.0.0.1:{registry.port}", "settings": SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        }  # fmt: skip
+        port = free_port()
+        config["listen"] = f"127.0.0.1:{port}"
+        (tmp_path / "balancer.json").write_text(json.dumps(config))
+        operator = tmp_path / "operator.toml"
+        operator.write_text('config = "balancer.json"\n[trace]\nfile = "seen.trace"\n')
+        environment = {k: v for k, v in os.environ.items() if k != "EDGE_CONFIG"}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "quartzford", "serve", "--operator", str(operator), cwd=ROOT,
+            env=environment, stderr=subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            link = None
+            while link is None:
+                try:
+                    link = await asyncio.open_connection("127.0.0.1", port)
+                except OSError:
+                    await asyncio.sleep(0.05)
+            reader, writer = link
+            for number in range(10):
+                writer.write(
+                    f"POST /api HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: c{number}\r\nX-Account: lima\r\n"
+                    f"X-Service-Class: pay\r\nX-Time-Left: 1500m\r\nCookie: sid=u{number % 2}\r\n"
+                    f"Content-Length: {number}\r\n\r\n{'x' * number}".encode()
+                )
+                assert (await read_message(reader)).status == 200
+            writer.close()
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 30) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+        for peer in (registry, *nodos):
+            await peer.stop()
+
+    uvloop.run(test())
+    rows = rows_in(tmp_path / "seen.trace")
+    assert [(r.service_class, r.tenant, r.size, r.left_ms) for r in rows] == [
+        ("pay", "lima", n, 1500.0) for n in range(10)
+    ]
+    assert len({row.key for row in rows}) == 2 and not any("u0" in row.key for row in rows)
+    dues = list(plan(Load(Target("h", 1), rows=tuple(rows), speed=2.0), 0))
+    assert [due.size for due in dues] == list(range(10))
+
+
+def test_a_file_that_cannot_be_made_is_refused_at_the_start(tmp_path: Path) -> None:
+    operator = tmp_path / "operator.toml"
+    operator.write_text('[trace]\nfile = "none/such/t"\n')
+    config = {
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "5", "settings": SETTINGS,
+        "known": {"seq": 1, "whole": True, "hosts": []}, "discovery": "127.0.0.1:1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    }  # fmt: skip
+    path = tmp_path / "balancer.json"
+    path.write_text(json.dumps(config))
+    done = subprocess.run(
+        [sys.executable, "-m", "quartzford", "serve", "--operator", str(operator)], cwd=ROOT,
+        env={**os.environ, "EDGE_CONFIG": str(path)}, capture_output=True, timeout=60, check=False,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.count(b"\n") == 1 and b"trace.file: " in done.stderr
