Subsets: a balancer uses a stable part of a large fleet, in whole grupos

A thousand balancers with a connection to each of ten thousand nodos is more than either side holds. [subset] in the operator's file, off by default, filters what a balancer is told of: rendezvous hashing of its name with each grupo, a minimum a zone, hysteresis, drains passed on.

--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -13,6 +13,7 @@
 from quartzford.fronts.http1 import HttpFront
 from quartzford.membership.listing import Listing, read_listing
 from quartzford.membership.pieces import Queue
+from quartzford.membership.subset import Subset
 from quartzford.membership.watch import Watch
 
 BASE_BYTES = 56 * 1024 * 1024  # the interpreter, the module and what sockets cost
@@ -37,8 +38,8 @@
 class Node:
     """One balancer on sockets: start, reload, housekeeping and end of its parts."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, subset: Subset | None = None) -> None:
+        self.loop, self.subset = loop, subset
         self.clock = clock = LoopClock(loop)
         self.log = StderrLog(clock.now)
         self.budget = Budget(0)
@@ -80,7 +81,7 @@
             known = read_listing(self.config.known)
         except ValueError as error:
             raise ConfigError(f"known: {error}") from None
-        self._adopt(known, "stale")
+        self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
         self.watch.version = known.version
         await self.front.listen(self.config.listen, self.loop)
         if not self.watch.asked:
@@ -121,7 +122,7 @@
     def listed(self, listing: Listing) -> None:
         """Short news at once; long ones in pieces, one a turn of the loop, and later ones behind them."""
         taking = self.news.waiting()
-        self.news.put(listing)
+        self.news.put(listing if self.subset is None else self.subset.filter(listing))
         if not taking:
             self._take_in()
 
--- a/quartzford/operatorfile.py
+++ b/quartzford/operatorfile.py
@@ -64,6 +64,14 @@
     most_mb: float = 256.0  # recording ends there
 
 
+@dataclass(frozen=True, slots=True)
+class SubsetSettings:
+    """Section [subset]: use so many ready nodos only, in whole grupos. docs/operators/subsets.md"""
+
+    size: int
+    per_zone: int = 0  # of each zone at least
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """The whole file. config: the platform-form configuration, unless EDGE_CONFIG names it."""
@@ -71,6 +79,7 @@
     config: str = ""
     extproc: ExtprocSettings | None = None
     trace: TraceSettings | None = None
+    subset: SubsetSettings | None = None
 
 
 Check = Callable[[str, Any], Any]
@@ -190,13 +199,25 @@
     return TraceSettings(**table)
 
 
+SUBSET: dict[str, Check] = {"size": _count(1, 1_000_000), "per_zone": _count(0, 1_000_000)}
+
+
+def _subset(key: str, value: Any) -> SubsetSettings:
+    table = _table(key, value, SUBSET)
+    if "size" not in table:
+        raise OperatorError(f"{key}.size: missing")
+    return SubsetSettings(**table)
+
+
 def read_operator(text: str) -> OperatorSettings:
     """The settings in a file's text; OperatorError where it can't be used."""
     try:
         table = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise OperatorError(f"not TOML: {error}") from None
-    return OperatorSettings(**_table("", table, {"config": _text, "extproc": _extproc, "trace": _trace}))
+    return OperatorSettings(
+        **_table("", table, {"config": _text, "extproc": _extproc, "trace": _trace, "subset": _subset})
+    )
 
 
 def load_operator(path: str) -> OperatorSettings:
@@ -214,8 +235,9 @@
         for name in ("listen", "workers", "most_streams", "token_key_file"):
             if getattr(old.extproc, name) != getattr(new.extproc, name):
                 return f"extproc.{name}"
-    return "trace" if old.trace != new.trace else ""
+    return next((name for name in ("trace", "subset") if getattr(old, name) != getattr(new, name)), "")
 
 
+assert {f.name for f in fields(SubsetSettings)} == set(SUBSET)
 assert {f.name for f in fields(TraceSettings)} == set(TRACE)
 assert {f.name for f in fields(ExtprocSettings)} == set(EXTPROC)
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -10,6 +10,7 @@
 
 from quartzford.automaton import load_arrays
 from quartzford.config import Config, ConfigError, load_config
+from quartzford.membership.subset import Subset
 from quartzford.node import Node, start_listening
 from quartzford.operatorfile import OperatorError, OperatorSettings, load_operator, takes_restart
 from quartzford.recording import Recorder
@@ -30,7 +31,9 @@
         self.path = path
         self.operator = load_operator(path)
         config = load_config(config_path(self.operator, path))
-        self.node = Node(config, loop)
+        chosen = self.operator.subset
+        subset = Subset(config.name, chosen.size, chosen.per_zone) if chosen is not None else None
+        self.node = Node(config, loop, subset)
         self.recorder = self._recorder(path)
         self.extproc: Any = None
         if self.operator.extproc is not None:
--- a/tests/test_extproc_process.py
+++ b/tests/test_extproc_process.py
@@ -220,6 +220,8 @@
 GOOD = '[extproc]\nlisten = "127.0.0.1:9090"\n'
 BAD = [
     ("[trace]", "trace.file: missing"),
+    ("[subset]", "subset.size: missing"),
+    ("[subset]\nsize = 0", "subset.size: 0 is not from 1"),
     ('[trace]\nfile = "t"\nkeys = "some"', "trace.keys: 'some' is not one of hashed, plain, none"),
     ('[trace]\nfile = "t"\nmost_mb = 0', "trace.most_mb"),
     ("[extproc", "not TOML"),
