Load: a lost request breaks a rule of the run; 13,000 a second is a trace replayed

A connection that ended with no whole answer counted as failed, so the verdict on a run could not see rule one broken; answers too many were not in it either. What crosses a close between requests now goes once more on a new connection, as the platform's clients do.

--- a/bench/loadgen.py
+++ b/bench/loadgen.py
@@ -19,7 +19,7 @@
 from bench.common import ROOT, cpu_seconds, platform_run, report, saturate, sound_fleet
 from quartzford.load.clients import SINGLE, Kind
 from quartzford.load.driver import Target
-from quartzford.load.run import Load, play
+from quartzford.load.run import Load, play, rows_of
 
 KINDS = (Kind("consulta", deadline_s=4.0, aim_s=1.0),)
 MARGIN, MARGIN_MS = 0.01, 0.5
@@ -104,10 +104,14 @@
 
 
 def lateness(seconds: float) -> list[dict[str, Any]]:
+    """2,600/s from one worker, and a trace of it replayed five times as fast over four."""
     rows = []
     for rate, workers in ((2600, 1), (13_000, 4)):
         with responder("constant:5") as target:
-            load = Load(target, f"constant:{rate}", seconds, workers=workers, kinds=KINDS, manners=SINGLE)
+            load = Load(target, "constant:2600", seconds, workers=workers, kinds=KINDS, manners=SINGLE)
+            if rate > 2600:
+                trace = rows_of(replace(load, seconds=seconds * rate / 2600))
+                load = replace(load, rows=tuple(trace), speed=rate / 2600)
             result = play(load)
         late = result["lateness_ms"]
         rows.append({
--- a/quartzford/load/cli.py
+++ b/quartzford/load/cli.py
@@ -197,7 +197,9 @@
 
 def reconcile(result: dict[str, Any], account: dict[str, Any], load: Load) -> None:
     """Lay the clients' books beside the nodos', and put the verdict into the result."""
-    result["rules"] = judge(account, result["record"].pop("book"), load.kinds)
+    record = result["record"]
+    twice = record["counts"].get("answered twice", 0)
+    result["rules"] = judge(account, record.pop("book"), load.kinds, twice)
 
 
 def keep(result: dict[str, Any], as_json: str | None, as_html: str | None) -> None:
--- a/quartzford/load/clients.py
+++ b/quartzford/load/clients.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 SERVED, REFUSED, FAILED, NO_ANSWER, UNREACHABLE = "served", "refused", "failed", "no answer", "unreachable"
-ENDS = (SERVED, REFUSED, FAILED, NO_ANSWER, UNREACHABLE)
+LOST = "lost"  # its connection ended with no whole answer: rule one is broken
+ENDS = (SERVED, REFUSED, FAILED, NO_ANSWER, UNREACHABLE, LOST)
 
 
 @dataclass(frozen=True, slots=True)
--- a/quartzford/load/driver.py
+++ b/quartzford/load/driver.py
@@ -21,6 +21,7 @@
 
 from quartzford.load.clients import (
     FAILED,
+    LOST,
     NO_ANSWER,
     REFUSED,
     SERVED,
@@ -76,7 +77,7 @@
 class Try:
     """One try: on a connection, or waiting for one."""
 
-    __slots__ = ("job", "planned", "sent", "give_up", "over")
+    __slots__ = ("job", "planned", "sent", "give_up", "over", "resent")
 
     def __init__(self, job: Job, planned: float, give_up: float) -> None:
         self.job = job
@@ -84,6 +85,7 @@
         self.sent = 0.0
         self.give_up = give_up
         self.over = False
+        self.resent = False  # an idle connection's end crossed it, and it went out once more
 
 
 class Link(asyncio.Protocol):
@@ -98,12 +100,13 @@
         self.retry_after = 0.0
         self.closed = False
         self.fresh = False
+        self.used = self.heard = False  # has carried a request before; has brought a part of this answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
     def ask(self, attempt: Try, data: bytes) -> None:
-        self.attempt, self.retry_after = attempt, 0.0
+        self.attempt, self.retry_after, self.heard = attempt, 0.0, False
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
 
@@ -111,6 +114,7 @@
         if self.attempt is None:
             self.driver.record.counts["answered twice"] += 1
             return self.transport.abort()
+        self.heard = True
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -125,6 +129,7 @@
 
     def on_message_complete(self) -> None:
         attempt, self.attempt = self.attempt, None
+        self.used = True
         if attempt is None:
             self.driver.record.counts["answered twice"] += 1
             return
@@ -141,7 +146,12 @@
         self.driver.open -= 1
         attempt, self.attempt = self.attempt, None
         if attempt is not None and not attempt.over:
-            self.driver.ended(attempt, FAILED, 0.0)
+            # A server may close a connection between requests; what crosses that goes once more on a new one.
+            if self.used and not self.heard and not attempt.resent:
+                attempt.resent = True
+                self.driver.connect(attempt)
+            else:
+                self.driver.ended(attempt, LOST, 0.0)
         self.driver.serve_waiting()
 
     def give_up(self) -> None:
@@ -264,6 +274,10 @@
             self.waiting.append(attempt)
             self._limit(attempt, None)
             return
+        self.connect(attempt, fresh)
+
+    def connect(self, attempt: Try, fresh: bool = False) -> None:
+        """Send it on a new connection."""
         self.open += 1
         task = self.loop.create_task(self._connect(attempt, fresh))
         self.connecting.add(task)
@@ -328,10 +342,7 @@
                 self._send(attempt, self.idle.pop())
             elif self.open < self.target.connections:
                 self.waiting.popleft()
-                self.open += 1
-                task = self.loop.create_task(self._connect(attempt, False))
-                self.connecting.add(task)
-                task.add_done_callback(self.connecting.discard)
+                self.connect(attempt)
             else:
                 return
 
--- a/quartzford/load/judge.py
+++ b/quartzford/load/judge.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-from quartzford.load.clients import REFUSED, SERVED, Kind
+from quartzford.load.clients import LOST, REFUSED, SERVED, Kind
 
 DRAIN_S, SLACK_S = 0.25, 0.05
 FALL_S, TIP = 2.0, 4.0
@@ -74,8 +74,10 @@
     return sum(len(done) > 1 for done in effects.values())
 
 
-def judge(account: dict[str, Any], tries: Sequence[Sequence[str]], kinds: Iterable[Kind]) -> dict[str, Any]:
-    """What broke a rule, by rule; all 0 if none did. tries: what the clients' books say."""
+def judge(
+    account: dict[str, Any], tries: Sequence[Sequence[str]], kinds: Iterable[Kind], twice: int = 0
+) -> dict[str, Any]:
+    """What broke a rule, by rule; all 0 if none did. tries, twice: what the clients' books say."""
     known = {kind.name: kind for kind in kinds}
     unsafe = {name for name, kind in known.items() if kind.effect == "unsafe"}
     guarded = unsafe | {n for n, kind in known.items() if kind.effect == "keyed" and kind.group != "all"}
@@ -85,6 +87,8 @@
     drained, latest = late_sends([(d[0], d[2], d[3]) for d in account["drains"]], sends)
     cold = cold_breaches(account["births"], account["arrivals"])
     rules = {
+        "lost: no whole answer": sum(end == LOST for _, _, end in tries),
+        "answered twice": twice,
         "served but run by nobody": sum(end == SERVED and not ran[i] for i, _, end in tries),
         "refused though it ran": sum(end == REFUSED and ran[i] > 0 for i, n, end in tries if n in guarded),
         "unsafe requests run twice": sum(count > 1 for count in by_request.values()),
--- a/tests/test_load_judge.py
+++ b/tests/test_load_judge.py
@@ -43,6 +43,7 @@
 @pytest.mark.parametrize(
     ("rule", "spoil"),
     [
+        ("lost: no whole answer", lambda a, t: t.append(("1.0.7-1", "consulta", "lost"))),
         ("served but run by nobody", lambda a, t: t.append(("1.0.9-1", "consulta", "served"))),
         ("refused though it ran", lambda a, t: t.append(("1.0.3-2", "cobro", "refused"))),
         ("unsafe requests run twice", lambda a, t: a["runs"].append([2, "1.0.3-3", "cobro", "", 1, False])),
@@ -71,6 +72,11 @@
     assert judge(ACCOUNT, [*TRIES, ("1.0.1-1", "consulta", "refused")], BRIEF)["kept"]
 
 
+def test_an_answer_too_many_is_a_breach() -> None:
+    assert judge(ACCOUNT, TRIES, BRIEF, 1)["rules"]["answered twice"] == 1
+    assert not judge(ACCOUNT, TRIES, BRIEF, 1)["kept"]
+
+
 def test_a_drain_that_ended_counts_no_more() -> None:
     assert late_sends([("a", 1.0, 2.0)], [("a", 2.5), ("a", 0.5), ("b", 1.9)]) == (0, 0.0)
     assert late_sends([("a", 1.0, 2.0)], [("a", 1.9)], 0.3) == (1, pytest.approx(0.9))
--- a/tests/test_load_sockets.py
+++ b/tests/test_load_sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import resource
@@ -24,7 +25,7 @@
 from quartzford.load.driver import Driver, Target
 from quartzford.load.live import Sums
 from quartzford.load.record import Record, figures
-from quartzford.load.run import Load, plan, play
+from quartzford.load.run import Load, plan, play, rows_of
 from quartzford.load.trace import Row
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -217,6 +218,78 @@
     assert sums.sent == counts[-1] and sum(sums.row(s)[1] for s in sums.seconds) > 0
 
 
+def test_a_trace_at_five_times_2600_is_in_time_or_said_to_be_late() -> None:
+    with server("none") as (target, _):
+        load = Load(target, "constant:2600", 5.0, workers=3, kinds=ONE, manners=SINGLE)
+        rows = tuple(rows_of(load))
+        result = play(replace(load, rows=rows, speed=5.0))
+    assert result["ended"] == result["sent"] == len(rows) > 12_000
+    late = result["lateness_ms"]["p99"] > 5.0
+    assert result["late"] == late and any("late" in text for text in result["trouble"]) == late
+
+
+@pytest.mark.parametrize(("number", "said"), [(errno.EADDRNOTAVAIL, True), (errno.ECONNREFUSED, False)])
+def test_ports_that_run_out_are_told_from_nobody_there(number: int, said: bool) -> None:
+    async def main() -> str:
+        loop, record = asyncio.get_running_loop(), Record(ONE)
+        load = Load(Target("127.0.0.1", 9), "constant:100", 0.2, kinds=ONE, manners=SINGLE)
+        driver = Driver(load.target, load.manners, plan(load, 0), time.monotonic(), 1, "t", record)
+
+        class Loop:
+            def __getattr__(self, name: str) -> Any:
+                return getattr(loop, name)
+
+            async def create_connection(self, *arguments: Any) -> Any:
+                raise OSError(number, os.strerror(number))
+
+        driver.loop = Loop()  # type: ignore[assignment]
+        await driver.run()
+        assert set(record.ends) == {"consulta unreachable"}
+        return driver.starved
+
+    assert ("out of descriptors or ports" in uvloop.run(main())) == said
+
+
+@pytest.mark.parametrize(("closes", "end"), [("between", "served"), ("in answer", "lost")])
+def test_a_connection_closed_between_requests_is_no_loss_and_one_in_an_answer_is(
+    closes: str, end: str
+) -> None:
+    """The first request is answered; the second crosses the close, or has its answer cut off."""
+
+    async def main() -> tuple[Record, int]:
+        seen = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal seen
+            first = True
+            while await reader.readuntil(b"\r\n\r\n"):
+                seen += 1
+                if not first and closes == "between":
+                    break  # as if it had not read it
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + (b"ok" if first else b"o"))
+                await writer.drain()
+                if not first:
+                    break
+                first = False
+            writer.close()
+
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        record = Record(ONE)
+        load = Load(
+            Target("127.0.0.1", port, connections=1), "constant:10", 0.2, "fixed", kinds=ONE, manners=SINGLE
+        )
+        await Driver(load.target, load.manners, plan(load, 0), time.monotonic(), 1, "t", record).run()
+        listening.close()
+        return record, seen
+
+    record, seen = uvloop.run(main())
+    assert sum(record.ends.values()) == 2
+    assert record.ends["consulta served"] == (2 if end == "served" else 1)
+    assert record.ends["consulta lost"] == (0 if end == "served" else 1)
+    assert seen == (3 if closes == "between" else 2)
+
+
 def command(*arguments: str, **options: Any) -> subprocess.Popen[bytes]:
     return subprocess.Popen(
         [sys.executable, "-m", "quartzford", "load", *arguments], cwd=ROOT, stdout=subprocess.PIPE,
--- a/tests/test_sameness.py
+++ b/tests/test_sameness.py
@@ -237,3 +237,17 @@
     fleet = balancer.fleet
     assert not fleet.trouble and not fleet.late and not fleet.cold
     assert len(fleet.heads) <= 1 and eligibility.RATE_MS > 0
+
+
+@pytest.mark.parametrize("said", [1e308, float("inf"), float("nan")])
+def test_a_report_beyond_all_bounds_leaves_p_a_probability(said: float) -> None:
+    for servers in (4, 60):
+        balancer = Balancer(settings_of(Plan()), 1)
+        entries = tuple(io.Entry(f"s{n}", "z0", "std", n, "ready", 1.0, 0.0) for n in range(servers))
+        balancer.handle(0.0, io.ListUpdate("stale", entries))
+        for n in range(3 * servers):
+            (send,) = balancer.handle(2.0 * n, io.Request(n, "read", 800.0))
+            assert isinstance(send, io.Send)
+            balancer.handle(2.0 * n + 1, io.Outcome(n, 0, send.server, "ok", 5.0, True, (said,)))
+        shares = [server.p for server in balancer.ready]
+        assert sum(shares) == pytest.approx(1.0) and all(0.0 <= p <= 1.0 for p in shares)
