--- a/bench/http_path.py
+++ b/bench/http_path.py
@@ -50,7 +50,8 @@
     print(f"rate here over there: median {median(ratios):.3f}, from {ratios[0]:.3f} to {ratios[-1]:.3f}")
     print(f"CPU a request here over there: median {median(cpu):.3f}, from {cpu[0]:.3f} to {cpu[-1]:.3f}")
     wrong = sum(row["not_200"] for pair in rows for row in pair)
-    print(f"not answered 200: {wrong:.0f}")
+    sides = [sum(pair[n]["not_200"] for pair in rows) for n in (0, 1)]
+    print(f"not answered 200: here {sides[0]:.0f}, there {sides[1]:.0f}")
     report({"pairs": rows, "rate_ratio": median(ratios), "cpu_ratio": median(cpu)}, options.json)
     return 0 if not wrong else 1
 
--- a/quartzford/membership/subset.py
+++ b/quartzford/membership/subset.py
@@ -15,9 +15,8 @@
 from quartzford import interface as io
 from quartzford.membership.listing import Listing
 
-SLACK = (
-    1.25  # a subset may be so many times its size before grupos are left: else one flapping nodo moves two
-)
+# A subset may be so many times its size before grupos are left: else one nodo that flaps would move two.
+SLACK = 1.25
 Held = tuple[io.Entry, tuple[str, int]]
 
 
