Second address with figures, upstreams out by hand; decision and settings as packages

Change: fronts/operations (answered in the loop) over protocols/onecall (sans I/O), engine/figures, io.ByHand as a state of the decision module (back in use as a cold newcomer), membership/roster as the list under what is out. The policy files moved to decision/, the configuration to settings/.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -24,11 +24,11 @@
 import uvloop
 
 from bench.common import report
-from quartzford import interface as io
-from quartzford.automaton import load_arrays
-from quartzford.config import read_config
-from quartzford.logic import Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.automaton import load_arrays
+from quartzford.decision.logic import Balancer
 from quartzford.node import Node
+from quartzford.settings.platform import read_config
 from standins.nodo import Books, Nodo, Registry
 from standins.site import config, free_port
 from tests.reference_policy import Balancer as Old
--- a/bench/subsets.py
+++ b/bench/subsets.py
@@ -16,7 +16,7 @@
 from typing import Any, NamedTuple
 
 from bench.common import quantile, report
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.membership.listing import Listing
 from quartzford.membership.subset import Subset
 
--- a/quartzford/__init__.py
+++ b/quartzford/__init__.py
@@ -1,6 +1,6 @@
 """quartzford: the decisions of a reverse proxy that spreads requests over servers."""
 
-from quartzford import interface
-from quartzford.logic import Balancer
+from quartzford.decision import interface
+from quartzford.decision.logic import Balancer
 
 __all__ = ["Balancer", "interface"]
--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -9,8 +9,8 @@
 
 import uvloop
 
-from quartzford.config import Config, ConfigError, load_config
 from quartzford.node import Node, start_listening
+from quartzford.settings.platform import Config, ConfigError, load_config
 
 
 def load() -> Config:
@@ -49,8 +49,8 @@
         from quartzford.demo import main as demo
 
         return demo(arguments[1:])
-    from quartzford.operatorfile import OperatorError, load_operator
     from quartzford.serve import serve
+    from quartzford.settings.operatorfile import OperatorError, load_operator
 
     parser = argparse.ArgumentParser(prog="quartzford", description="A balancer that has to hold.")
     commands = parser.add_subparsers(dest="command", required=True)
--- a/quartzford/backends/caller.py
+++ b/quartzford/backends/caller.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from quartzford import engine
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.engine import Clock, Engine, Handle
 from quartzford.membership.listing import Listing
 
--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -11,10 +11,10 @@
 import httptools
 
 from quartzford import engine
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.engine import Budget, Clock, Engine, Handle
-from quartzford.fields import read_report
 from quartzford.membership.listing import Listing
+from quartzford.settings.fields import read_report
 
 TICK_S = 0.001  # what the loop's timers are exact to
 HOLD_BYTES = 64 * 1024  # longer answers are streamed: a shorter one that breaks can be tried again
@@ -226,6 +226,8 @@
         else:
             self.transport.writelines((head, body))
         self.flushed = not self.transport.is_closing() and not self.transport.get_write_buffer_size()
+        if self.flushed:
+            self.upstream.pool.engine.figures.attempts += 1
 
     # ---- asyncio.Protocol
 
@@ -235,6 +237,8 @@
         self.upstream.pool.connections.add(self)
 
     def resume_writing(self) -> None:
+        if not self.flushed and self.attempt is not None:
+            self.upstream.pool.engine.figures.attempts += 1
         self.flushed = True
 
     def data_received(self, data: bytes) -> None:
--- a/quartzford/admission.py
+++ b/quartzford/decision/admission.py
@@ -5,8 +5,8 @@
 import random
 from collections import deque
 
-from quartzford import interface as io
-from quartzford.eligibility import Rate
+from quartzford.decision import interface as io
+from quartzford.decision.eligibility import Rate
 
 LATE_FROM = 0.9  # share of the aim from which an attempt counts as late
 LATE_TARGET = 0.4  # share of late attempts that is borne if what would be refused is worth the average
--- a/quartzford/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -1,7 +1,7 @@
 """Which servers a send may be drawn from: membership, outlier ejection, suspects, slow start, groups.
 
 What is unusual of a server (ejected, shut, late, cold) is kept in small sets, so that a send looks at these
-and at nothing else server by server; the fleet as a whole is the automaton's (quartzford/automaton.py).
+and at nothing else server by server; the fleet as a whole is the automaton's (automaton.py).
 """
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 from itertools import count
 from typing import Any, NamedTuple
 
-from quartzford import automaton
-from quartzford import interface as io
-from quartzford.automaton import Place, Query, Shares
+from quartzford.decision import automaton
+from quartzford.decision import interface as io
+from quartzford.decision.automaton import Place, Query, Shares
 
 ZONE_COST = 50.0
 FAIL_WEIGHT = 0.4
@@ -44,6 +44,7 @@
     entry: io.Entry
     fleet: Fleet
     at: int = -1
+    cold_from: float = 0.0  # slow start counts from here; 0 for long ago
     failing: float = 0.0
     ejections: int = 0
     ejected_until: float = -math.inf
@@ -105,6 +106,8 @@
         self.heads: list[tuple[float, int, Server, Attempt]] = []  # oldest attempts by their due
         self.order = count()
         self.cold: dict[Server, None] = {}
+        self.by_hand: set[str] = set()  # out until the operators say otherwise, whatever the list says
+        self.back: dict[str, float] = {}  # when what was out by hand came back
         self.units: float | None = None  # of all ready servers
         self.failing = 0.0  # of the whole fleet
         self.arrivals, self.answers = Rate(), Rate()
@@ -135,6 +138,10 @@
                 self._remove(name)
         for entry in entries:
             self._entry(entry)
+        self._commit()
+        self.shares = automaton.fitting(self.shares, len(self.ready))
+
+    def _commit(self) -> None:
         first = self.shares.commit()
         if first >= 0:
             # Who left and came back in one update stands in two slots; only the second is its own.
@@ -142,7 +149,6 @@
             self.ready[first:] = moved
             for at, server in enumerate(moved, first):
                 server.at = at
-        self.shares = automaton.fitting(self.shares, len(self.ready))
 
     def _entry(self, entry: io.Entry) -> None:
         if entry.state == "gone":
@@ -154,13 +160,14 @@
         if server is None:
             server = self.servers[entry.server] = Server(entry, self)
         held_entry, server.entry = server.entry, entry
-        if entry.state != "ready":
+        if entry.state != "ready" or entry.server in self.by_hand:
             self._leave(server)
         elif server.at < 0:
             self._join(server)
         else:
             if entry != held_entry:
                 self.shares.move(server.at, self._place(entry))
+                server.cold_from = max(entry.started_ms, self.back.get(entry.server, 0.0))
                 self.cold[server] = None
 
     def _join(self, server: Server) -> None:
@@ -169,7 +176,9 @@
         server.tokens, server.tokens_ms = self.rng.random(), self.now
         server.at = self.shares.join(self._place(server.entry), len(server.open))
         self.ready.append(server)
-        if server.entry.started_ms > 0:
+        # What was out by hand was restarted meanwhile, whether the list knows or not: cold from its return.
+        server.cold_from = max(server.entry.started_ms, self.back.get(server.entry.server, 0.0))
+        if server.cold_from > 0:
             self.cold[server] = None
 
     def _leave(self, server: Server) -> None:
@@ -185,6 +194,33 @@
             self.trouble.pop(server, None)
             self.late.pop(server, None)
 
+    def hand(self, name: str, out: bool) -> None:
+        """Out by hand: draining for this balancer, until it is put back as a newcomer."""
+        if out == (name in self.by_hand):
+            return
+        self.shares.begin()
+        self.units = None
+        server = self.servers.get(name)
+        if out:
+            self.by_hand.add(name)
+            if server is not None:
+                self._leave(server)
+        else:
+            self.by_hand.discard(name)
+            since = self.now - self.settings.rules.cold_ms
+            self.back = {n: at for n, at in self.back.items() if at > since}
+            self.back[name] = self.now
+            if server is not None and server.entry.state == "ready" and server.at < 0:
+                self._join(server)
+        self._commit()
+
+    def avoided(self) -> int:
+        """Servers of the list that are out by hand, ejected or suspect."""
+        out = {name for name in self.by_hand if name in self.servers}
+        out |= {s.entry.server for s in self.trouble if s.at >= 0 and self.now < s.ejected_until}
+        due = ((s, next(iter(s.open.values()), None)) for s in self.late)
+        return len(out | {s.entry.server for s, sent in due if sent is not None and sent.due < self.now})
+
     # ---- attempts
 
     now = 0.0  # set by the balancer at each event
@@ -285,7 +321,7 @@
         """Slow start: a cold server gets its ramp's part of what a warm one takes from this balancer."""
         rules, now, sized = self.settings.rules, self.now, self.settings.sized
         since = now - rules.cold_ms
-        for server in [s for s in self.cold if not 0 < s.entry.started_ms > since]:
+        for server in [s for s in self.cold if not 0 < s.cold_from > since]:
             del self.cold[server]
         if not self.cold:
             return []
@@ -295,7 +331,7 @@
         rate = self.answers.read(now) / warm if len(self.cold) < len(self.ready) else 0.0
         blind = self.arrivals.read(now) / len(self.ready)
         for server in self.cold:
-            age = max(0.0, now - server.entry.started_ms) / rules.cold_ms
+            age = max(0.0, now - server.cold_from) / rules.cold_ms
             size = server.entry.units if sized else 1.0
             take = (rules.start_capacity + (1 - rules.start_capacity) * age) * (rate * size or blind)
             server.tokens = min(1.0, server.tokens + take * (now - server.tokens_ms))
--- a/quartzford/interface.py
+++ b/quartzford/decision/interface.py
@@ -175,6 +175,13 @@
     entries: tuple[Entry, ...] = ()
 
 
+class ByHand(NamedTuple):
+    """Operators take a server out, or put it back: draining here, whatever lists say meanwhile."""
+
+    server: str
+    out: bool
+
+
 class Request(NamedTuple):
     """A client's request that this balancer now owes one final answer."""
 
@@ -231,7 +238,7 @@
     report: Report = ()
 
 
-Event = ListUpdate | Request | Timer | Outcome | Started | Gone | Probed
+Event = ListUpdate | ByHand | Request | Timer | Outcome | Started | Gone | Probed
 
 
 # Actions
--- a/quartzford/logic.py
+++ b/quartzford/decision/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Its settings, events and actions are in quartzford/interface.py.
+"""Every decision of the balancer. Its settings, events and actions are in quartzford/decision/interface.py.
 
 The ordinary path is the CA-S automaton: a probability P per ready server, moved by Eq. 8 on the smoothed,
 normalised cost (Eq. 6, 7); every send is a draw from P over the eligible servers. The module's other files:
@@ -12,9 +12,9 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
-from quartzford import interface as io
-from quartzford.admission import LATE_FROM, Admission
-from quartzford.eligibility import Fleet, Sent, Server
+from quartzford.decision import interface as io
+from quartzford.decision.admission import LATE_FROM, Admission
+from quartzford.decision.eligibility import Fleet, Sent, Server
 
 LOADS = ("depth", "concurrent", "load_share")
 MOST_REPORT = 1e9  # a report beyond this is taken for it
@@ -72,6 +72,14 @@
         """All servers that the list tells of, by name."""
         return self.fleet.servers
 
+    @property
+    def by_hand(self) -> set[str]:
+        """Names of servers that operators have taken out."""
+        return self.fleet.by_hand
+
+    def avoided(self) -> int:
+        return self.fleet.avoided()
+
     @property
     def ready(self) -> list[Server]:
         return self.fleet.ready
@@ -88,6 +96,8 @@
                 self._timer(token)
             case io.ListUpdate():
                 self._list(event)
+            case io.ByHand(server, out):
+                self.fleet.hand(server, out)
             case io.Gone(request):
                 self.flights.pop(request, None)
             case io.Started():
--- a/quartzford/engine/__init__.py
+++ b/quartzford/engine/__init__.py
@@ -3,9 +3,11 @@
 from quartzford.engine.budget import Budget
 from quartzford.engine.clock import Clock, Handle, LoopClock
 from quartzford.engine.core import Engine
+from quartzford.engine.figures import Figures
 from quartzford.engine.flight import Attempt, Backend, Call
 from quartzford.engine.log import Log, StderrLog
 
 __all__ = [
-    "Attempt", "Backend", "Budget", "Call", "Clock", "Engine", "Handle", "Log", "LoopClock", "StderrLog",
+    "Attempt", "Backend", "Budget", "Call", "Clock", "Engine", "Figures", "Handle", "Log", "LoopClock",
+    "StderrLog",
 ]  # fmt: skip
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -11,11 +11,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
+from quartzford.decision.logic import Balancer
 from quartzford.engine.clock import Clock
+from quartzford.engine.figures import Figures
 from quartzford.engine.flight import Attempt, Call
 from quartzford.engine.log import Log
-from quartzford.logic import Balancer
 
 OVERDUE_S = 0.02  # past its time a request is ended whatever has become of its attempt or timer
 NUMBERS = 2**32
@@ -35,6 +36,7 @@
         self.balancer = Balancer(settings, seed)
         self.calls: dict[int, Call] = {}
         self.counts: Counter[str] = Counter()  # outcomes and answers since the last summary
+        self.figures = Figures()
         self.recorder: Recorder | None = None  # hears of each request taken
         self.watch: Callable[[], None] = lambda: None  # asks for the list, where the module says when
         self._number = 0
@@ -74,6 +76,7 @@
         if call is not None:
             attempt = call.attempt
             self._close(call)
+            self.figures.ended["failed"][call.kind] += 1
             self.balancer.flights.pop(call.number, None)
             if attempt is not None:
                 attempt.fail("cancelled")
@@ -114,6 +117,7 @@
     def _finish(self, request: int, how: str) -> Call:
         call = self.calls[request]
         self.counts[how] += 1
+        self.figures.ended[how][call.kind] += 1
         self._close(call)
         return call
 
@@ -134,6 +138,7 @@
     def arrived(self, call: Call, request: io.Request, size: int = 0) -> None:
         """A whole request has come, and is owed its one answer; size: of its body, in bytes."""
         self.calls[call.number] = call
+        call.kind = request.service_class
         if self.recorder is not None:
             self.recorder.take(request, size)
         self.feed(request)
@@ -179,6 +184,7 @@
         final = call.done or code == "ok" or attempt.streaming or not owed
         if final and not call.done:
             self._close(call)
+            self.figures.ended["served" if code == "ok" else "failed"][call.kind] += 1
             if attempt.streaming:
                 call.streamed(code == "ok")
             elif code == "ok":
--- /dev/null
+++ b/quartzford/engine/figures.py
@@ -0,0 +1,49 @@
+"""Counts that only grow, from the start of the process. What each means and when it moves:
+
+served    a whole answer of an upstream's has been handed to the client's connection, or its last piece
+refused   the client was told that trying again is harmless (429, 503), whoever decided it
+failed    the client was told of a failure, or an answer that had begun to be passed on broke
+attempts  the last byte of a request has gone into an upstream's connection
+rejected  what was no request was turned away before the module, by status
+
+A request whose client left is in none of them. The class is the one that the request named, if the settings
+know it; others are counted together as OTHER.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+from urllib.parse import quote
+
+OTHER = "other"
+
+
+class Figures:
+    """The counts of one process."""
+
+    def __init__(self) -> None:
+        self.ended: dict[str, Counter[str]] = {"served": Counter(), "refused": Counter(), "failed": Counter()}
+        self.attempts = 0
+        self.rejected: Counter[int] = Counter()
+        self.reloads = {"ok": 0, "failed": 0}
+
+    def turned_away(self, status: int, kind: str) -> None:
+        """An answer made before the module; kind: the class, "" where its head could not be read."""
+        self.rejected[status] += 1
+        if kind:
+            self.ended["refused" if status in (429, 503) else "failed"][kind] += 1
+
+    def page(self, prefix: str, classes: Collection[str], gauges: Iterable[tuple[str, int]]) -> str:
+        """The figures, one `prefix.name=value` a line; classes: those that the settings know."""
+        lines = []
+        for how, counts in self.ended.items():
+            lines += [(f"{how}.{quote(name)}", counts[name]) for name in classes]
+            strange = sum(count for name, count in counts.items() if name not in classes)
+            if strange and OTHER not in classes:
+                lines.append((f"{how}.{OTHER}", strange))
+        lines.append(("attempts", self.attempts))
+        lines += [(f"rejected.{status}", count) for status, count in sorted(self.rejected.items())]
+        lines += [(f"reloads_{how}", count) for how, count in self.reloads.items()]
+        lines += gauges
+        return "".join(f"{prefix}.{name}={value}\n" for name, value in lines)
--- a/quartzford/engine/flight.py
+++ b/quartzford/engine/flight.py
@@ -13,11 +13,12 @@
     The engine calls exactly one of served, refused, failed and broken, unless the client has left.
     """
 
-    __slots__ = ("number", "deadline", "attempt", "sends", "done", "backend")
+    __slots__ = ("number", "deadline", "attempt", "sends", "done", "backend", "kind")
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
         self.number = -1
+        self.kind = ""  # the class that the request named
         self.deadline = math.inf  # on the engine's clock, seconds
         self.attempt: Attempt | None = None
         self.sends = 0
--- a/quartzford/fronts/extproc/desk.py
+++ b/quartzford/fronts/extproc/desk.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.engine import Backend, Call, Clock, Engine, Handle
 from quartzford.fronts.extproc.outcome import Result
 from quartzford.fronts.extproc.token import Fault, Tokens
--- a/quartzford/fronts/extproc/messages.py
+++ b/quartzford/fronts/extproc/messages.py
@@ -13,9 +13,9 @@
 from envoy.extensions.filters.http.ext_proc.v3 import processing_mode_pb2 as mode
 from envoy.service.ext_proc.v3 import external_processor_pb2 as proto
 
-from quartzford.fields import read_cookie, read_number, read_time_left
 from quartzford.fronts.extproc.desk import Again, Ask, Failed, Opened, Passed, Refused, Reply, Told
 from quartzford.fronts.extproc.outcome import Result, read_result
+from quartzford.settings.fields import read_cookie, read_number, read_time_left
 
 ATTRIBUTES = "envoy.filters.http.ext_proc"
 DETAILS = "response.code_details"
--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -12,9 +12,9 @@
 
 import httptools
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.engine import Backend, Budget, Call, Clock, Engine
-from quartzford.fields import read_cookie, read_number, read_time_left
+from quartzford.settings.fields import read_cookie, read_number, read_time_left
 
 HEAD_BYTES = 32 * 1024
 BODY_BYTES = 32 * 1024 * 1024
@@ -88,13 +88,20 @@
         self.draining = False  # no connection is kept after its answer
         self.server: asyncio.Server | None = None
 
-    async def listen(self, address: tuple[str, int], loop: asyncio.AbstractEventLoop) -> None:
-        self.server = await loop.create_server(lambda: Client(self), *address, backlog=2048)
+    async def listen(self, address: tuple[str, int], loop: asyncio.AbstractEventLoop, shared: bool) -> None:
+        """shared: a successor may listen there too, while this process ends."""
+        self.server = await loop.create_server(
+            lambda: Client(self), *address, backlog=2048, reuse_port=shared or None
+        )
 
     def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
 
+    def waiting(self) -> int:
+        """Requests that have come whole behind others of their connection."""
+        return sum(len(client.waiting) for client in self.clients)
+
     def close_idle(self) -> None:
         for client in list(self.clients):
             client.close_if_idle()
@@ -500,6 +507,7 @@
         if self.closing or self.transport.is_closing():
             return
         self._drop_body()
+        self.front.engine.figures.turned_away(status, getattr(self, "read", {}).get("name", ""))
         self.closing = True
         self.since = self.front.now()
         text = REASONS[status]
--- a/quartzford/membership/listing.py
+++ b/quartzford/membership/listing.py
@@ -6,7 +6,7 @@
 import math
 from typing import Any, NamedTuple, Protocol
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 
 LONG_BYTES = 128 * 1024  # a text over this is read in a thread; some 800 servers
 STATES = ("ready", "draining", "gone")
--- a/quartzford/membership/pieces.py
+++ b/quartzford/membership/pieces.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterator
 from itertools import chain, islice
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.membership.listing import Listing
 
 PIECE = 256  # entries of one turn
--- /dev/null
+++ b/quartzford/membership/roster.py
@@ -0,0 +1,61 @@
+"""The list as last told, under what operators have taken out. No I/O.
+
+The decision module hears the list as it is; who makes attempts (backends) hears of an upstream that is out by
+hand as draining, and of its row in the list again when it is put back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Any
+
+from quartzford.decision import interface as io
+from quartzford.membership.listing import Listing
+
+Row = tuple[io.Entry, tuple[str, int]]
+
+
+class Roster:
+    """Rows by name, and the version that they are of."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+
+    def take(self, listing: Listing) -> None:
+        self.version = listing.version
+        if listing.whole:
+            self.rows.clear()
+        for row in zip(listing.entries, listing.addresses, strict=True):
+            if row[0].state == "gone":
+                self.rows.pop(row[0].server, None)
+            else:
+                self.rows[row[0].server] = row
+
+    def masked(self, listing: Listing, out: Collection[str]) -> Listing:
+        """The listing as backends are to hear it."""
+        if not out:
+            return listing
+        entries = tuple(
+            e._replace(state="draining") if e.state == "ready" and e.server in out else e
+            for e in listing.entries
+        )
+        return listing._replace(entries=entries)
+
+    def one(self, name: str, out: bool) -> Listing:
+        """One row as changes: draining where it is out; nothing where the list does not name it."""
+        row = self.rows.get(name)
+        if row is None:
+            return Listing(self.version, False, (), ())
+        return self.masked(Listing(self.version, False, (row[0],), (row[1],)), (name,) if out else ())
+
+    def table(self) -> dict[str, Any]:
+        """The whole list in discovery's form, to be read again by `read_listing`."""
+        hosts = [
+            {
+                "host": e.server, "dial": f"{host}:{port}", "site": e.zone, "class": e.kind, "block": e.cell,
+                "health": e.state, "share": e.units, "born_ms": e.started_ms,
+            }
+            for e, (host, port) in self.rows.values()
+        ]  # fmt: skip
+        return {"seq": self.version, "whole": True, "hosts": hosts}
--- a/quartzford/membership/subset.py
+++ b/quartzford/membership/subset.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from hashlib import blake2b
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.membership.listing import Listing
 
 # A subset may be so many times its size before grupos are left: else one nodo that flaps would move two.
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -8,13 +8,16 @@
 from typing import Protocol
 
 from quartzford.backends.http1 import HttpBackend
-from quartzford.config import Config, ConfigError
+from quartzford.decision import interface as io
 from quartzford.engine import Budget, Engine, LoopClock, StderrLog
 from quartzford.fronts.http1 import HttpFront
+from quartzford.fronts.operations import OperationsFront
 from quartzford.membership.listing import Listing, read_listing
 from quartzford.membership.pieces import Queue
+from quartzford.membership.roster import Roster
 from quartzford.membership.subset import Subset
 from quartzford.membership.watch import Watch
+from quartzford.settings.platform import Config, ConfigError
 
 BASE_BYTES = 56 * 1024 * 1024  # the interpreter, the module and what sockets cost
 BASE_DESCRIPTORS = 48
@@ -47,6 +50,8 @@
         self.pool = HttpBackend(self.engine, self.budget, clock, loop)
         self.followers: list[Follower] = [self.pool]
         self.news = Queue()
+        self.roster = Roster()
+        self.operations = OperationsFront(self, clock)
         self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
         self._configure(config)
         asked = config.settings.asks_list
@@ -83,7 +88,9 @@
             raise ConfigError(f"known: {error}") from None
         self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
         self.watch.version = known.version
-        await self.front.listen(self.config.listen, self.loop)
+        if self.config.admin is not None and self.operations.server is None:
+            await self._listen_for_operators(self.config.admin)
+        await self.front.listen(self.config.listen, self.loop, self.config.admin is not None)
         if not self.watch.asked:
             self.watch.start()
         self.clock.call_later(SUMMARY_S, self._summary)
@@ -112,6 +119,7 @@
         limit = self.draining_since + self.engine.longest_ms / 1000.0 + SPARE_END_S
         if not self.front.clients or self.clock.now() >= limit:
             self.watch.stop()
+            self.operations.stop()
             if not self.finished.done():
                 self.finished.set_result(None)
             return
@@ -137,13 +145,36 @@
                 self.loop.call_soon(self._take_in)
 
     def _adopt(self, listing: Listing, how: str) -> None:
+        self.roster.take(listing)
+        masked = self.roster.masked(listing, self.engine.balancer.by_hand)
         for follower in self.followers:
-            follower.listed(listing)
+            follower.listed(masked)
         self.engine.listed(how, listing.entries)
 
     def list_failed(self) -> None:
         self.engine.listed("failed")
 
+    # ---- what operators ask and tell
+
+    def by_hand(self, name: str, out: bool) -> bool:
+        balancer = self.engine.balancer
+        if name not in balancer.servers and name not in balancer.by_hand:
+            return False
+        self.engine.feed(io.ByHand(name, out))
+        for follower in self.followers:
+            follower.listed(self.roster.one(name, out))
+        self.log.line("by hand", f"{name[:100]} {'out' if out else 'back in use'}")
+        return True
+
+    def figures(self, prefix: str) -> str:
+        balancer, engine = self.engine.balancer, self.engine
+        gauges = (
+            ("in_flight", len(engine.calls) + self.front.waiting()),
+            ("upstreams_known", len(balancer.servers)),
+            ("upstreams_excluded", balancer.avoided()),
+        )
+        return engine.figures.page(prefix, engine.classes, gauges)
+
     # ---- housekeeping
 
     def _summary(self) -> None:
@@ -163,6 +194,14 @@
             self.log.trouble("sweep")
         self.clock.call_later(SWEEP_S, self._sweep)
 
+    async def _listen_for_operators(self, address: tuple[str, int]) -> None:
+        try:
+            await self.operations.listen(address, self.loop)
+        except OSError as error:
+            if error.errno == errno.EADDRINUSE:
+                raise
+            raise ConfigError(f"admin_addr: {address[0]}:{address[1]}: {error}") from None
+
 
 async def start_listening(node: Node) -> None:
     """Start, and wait for an address that the process before still holds."""
--- a/quartzford/recording.py
+++ b/quartzford/recording.py
@@ -14,7 +14,7 @@
 from hashlib import blake2b
 from pathlib import Path
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.engine import Clock, Log
 from quartzford.load.trace import END, HEAD, VERSION, Row, line_of
 
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -8,12 +8,12 @@
 from pathlib import Path
 from typing import Any
 
-from quartzford.automaton import load_arrays
-from quartzford.config import Config, ConfigError, load_config
+from quartzford.decision.automaton import load_arrays
 from quartzford.membership.subset import Subset
 from quartzford.node import Node, start_listening
-from quartzford.operatorfile import OperatorError, OperatorSettings, load_operator, takes_restart
 from quartzford.recording import Recorder
+from quartzford.settings.operatorfile import OperatorError, OperatorSettings, load_operator, takes_restart
+from quartzford.settings.platform import Config, ConfigError, load_config
 
 
 def config_path(operator: OperatorSettings, path: str) -> str:
--- a/quartzford/config.py
+++ b/quartzford/settings/platform.py
@@ -4,10 +4,11 @@
 
 import json
 import math
-from dataclasses import dataclass
+import os
+from dataclasses import dataclass, replace
 from typing import Any
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 
 EFFECTS = {"free": "free", "guarded": "keyed", "single_shot": "unsafe"}
 # Load reports on sockets have the simulator's names; the settings have the wire's.
@@ -36,6 +37,7 @@
     memory_bytes: int
     descriptors: int
     known: dict[str, Any]
+    admin: tuple[str, int] | None  # where operators call, if anywhere
     settings: io.Settings
     idle_ms: float
     connect_ms: float
@@ -180,9 +182,11 @@
         raise ConfigError("EDGE_CONFIG: not set")
     try:
         with open(path, encoding="utf-8") as file:
-            return read_config(file.read())
+            config = read_config(file.read())
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
+    admin = os.environ.get("EDGE_ADMIN_ADDR")  # of this process; the file may already name its successor's
+    return replace(config, admin=_address({"EDGE_ADMIN_ADDR": admin}, "EDGE_ADMIN_ADDR")) if admin else config
 
 
 def _config(table: Any) -> Config:
@@ -196,6 +200,7 @@
         memory_bytes=int(_positive(table, "limits.memory_mb") * 1024 * 1024),
         descriptors=int(_positive(table, "limits.sockets")),
         known=_want(table, "known", dict),
+        admin=_address(table, "admin_addr") if table.get("admin_addr") else None,
         settings=settings,
         idle_ms=_positive(raw, "limits.connIdleMs"),
         connect_ms=_positive(raw, "limits.connectTimeoutMs"),
--- a/quartzford/wirehost.py
+++ b/quartzford/wirehost.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from quartzford import interface as io
-from quartzford.config import read_settings
-from quartzford.logic import Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.logic import Balancer
+from quartzford.settings.platform import read_settings
 
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 KINDS = {"D": "changes", "F": "whole", "C": "stale", "X": "failed"}
--- a/tests/extproc_site.py
+++ b/tests/extproc_site.py
@@ -11,10 +11,10 @@
 from peers import SETTINGS, until
 
 from quartzford.backends.caller import CallerBackend
-from quartzford.config import read_config
 from quartzford.fronts.extproc.service import ExtprocFront
 from quartzford.node import Node
-from quartzford.operatorfile import ExtprocSettings
+from quartzford.settings.operatorfile import ExtprocSettings
+from quartzford.settings.platform import read_config
 from standins.caller import CallerProxy, Exchange, Headers, Policy, request_rows
 from standins.nodo import Nodo, fleet
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from quartzford import interface as io
-from quartzford.logic import Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.logic import Balancer
 
 FREE = io.ServiceClass("read", 200.0, 800.0, worth=1.0, effect="free")
 KEYED = io.ServiceClass("book", 200.0, 800.0, worth=5.0, effect="keyed", group="cell", window_ms=60.0)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -11,9 +11,9 @@
 
 import uvloop
 
-from quartzford import interface as io
-from quartzford.config import read_config
+from quartzford.decision import interface as io
 from quartzford.node import Node
+from quartzford.settings.platform import read_config
 
 SETTINGS: dict[str, Any] = {
     "blend": {"whole": 1.0},
@@ -178,6 +178,8 @@
 
     current: dict[str, Any] | None = None
 
+    admin = ""  # where operators call
+
     def tell(self, line: str | dict[str, Any], writer: asyncio.StreamWriter | None = None) -> None:
         """A line on the watch."""
         text = (line if isinstance(line, str) else json.dumps(line)) + "\n"
@@ -198,7 +200,7 @@
         config = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "5", "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
-            "known": known, "settings": self.settings,
+            "known": known, "settings": self.settings, "admin_addr": self.admin,
         }  # fmt: skip
         self.node = Node(read_config(json.dumps(config)), asyncio.get_running_loop())
         handle = self.node.engine.balancer.handle
--- a/tests/reference_policy.py
+++ b/tests/reference_policy.py
@@ -1,6 +1,6 @@
 """The policy as it was before its cost was cut: the reference of tests/test_sameness.py and bench.decisions.
 
-Every decision of the balancer. Its settings, events and actions are in quartzford/interface.py.
+Every decision of the balancer. Its settings, events and actions are in quartzford/decision/interface.py.
 
 The ordinary path is the CA-S automaton: a probability P per ready server, moved by Eq. 8 on the smoothed,
 normalised cost (Eq. 6, 7); every send is a draw from P over the eligible servers. See README.md.
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 
 # Automaton
 STEP = 0.5  # a = b of Eq. 8 times the ready servers: an answer moves its server's share by at most about half
--- a/tests/streams_of_events.py
+++ b/tests/streams_of_events.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 
 CODES = ("error", "timeout", "reset", "connect_failed", "full", "cancelled", "moot")
 CLASSES = (
--- a/tests/test_automaton.py
+++ b/tests/test_automaton.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 from pytest import approx
 
-from quartzford import interface as io
-from quartzford.logic import Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.logic import Balancer
 
 
 def shares(balancer: Balancer) -> dict[str, float]:
--- a/tests/test_extproc_example.py
+++ b/tests/test_extproc_example.py
@@ -16,7 +16,7 @@
 from envoy.extensions.upstreams.http.v3 import http_protocol_options_pb2  # noqa: F401
 from google.protobuf import json_format
 
-from quartzford.operatorfile import HEADERS, load_operator
+from quartzford.settings.operatorfile import HEADERS, load_operator
 from standins.site import CLASSES
 
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
@@ -117,7 +117,7 @@
 
 
 def test_the_operators_example_names_every_key_with_its_default() -> None:
-    from quartzford.operatorfile import EXTPROC, ExtprocSettings
+    from quartzford.settings.operatorfile import EXTPROC, ExtprocSettings
 
     text = (DEPLOY / "operator.example.toml").read_text()
     settings = load_operator(str(DEPLOY / "operator.example.toml")).extproc
--- a/tests/test_extproc_process.py
+++ b/tests/test_extproc_process.py
@@ -17,8 +17,8 @@
 from extproc_site import Raw, Site, rows_of, status_of
 from peers import SETTINGS, run, until
 
-from quartzford.operatorfile import ExtprocSettings, OperatorError, read_operator, takes_restart
 from quartzford.serve import config_path
+from quartzford.settings.operatorfile import ExtprocSettings, OperatorError, read_operator, takes_restart
 from standins.caller import CallerProxy, Policy
 from standins.nodo import Nodo, fleet
 
--- a/tests/test_extproc_streams.py
+++ b/tests/test_extproc_streams.py
@@ -14,7 +14,7 @@
 from extproc_site import Raw, Site, rows_of, status_of
 from peers import SETTINGS, run, until
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.fronts.extproc.token import Tokens
 from quartzford.protocols import http2
 from standins.caller import PROCESS, STAGES, Headers
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,9 +5,9 @@
 from helpers import FREE, ask, entry, finals, outcome, sends, serve, settings, started
 from pytest import approx
 
-from quartzford import interface as io
-from quartzford.eligibility import FAIL_WEIGHT
-from quartzford.logic import Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.eligibility import FAIL_WEIGHT
+from quartzford.decision.logic import Balancer
 
 
 def test_a_hung_server_is_left_alone_while_an_attempt_ages() -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,7 +9,7 @@
 import pytest
 from helpers import settings
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -18,9 +18,9 @@
     policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
     texts = [(ROOT / name).read_text().splitlines() for name in policy]
     assert sum(bool(line.strip()) for lines in texts for line in lines) <= 1200
-    lines = (ROOT / "quartzford" / "logic.py").read_text().splitlines()
+    lines = (ROOT / "quartzford" / "decision" / "logic.py").read_text().splitlines()
     assert max(map(len, lines)) <= 110
-    assert "quartzford/interface.py" in lines[0]
+    assert "quartzford/decision/interface.py" in lines[0]
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,253 @@
+"""Operators' calls: the second address, the figures, upstreams out by hand. No bench."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+from helpers import FREE, KEYED, ask, entry, finals, listed, outcome, sends, started
+from peers import Message, World, read_message, reply, request, run, until
+
+from quartzford.decision import interface as io
+from quartzford.protocols.onecall import BODY_BYTES, HEAD_BYTES, OneCall, Reader
+
+PUT = b"PUT /maintenance/enter HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize("step", [1, 3, 10_000])
+@pytest.mark.parametrize(
+    ("data", "wanted"),
+    [
+        (b"GET /status HTTP/1.1\r\nHost: a\r\n\r\n", OneCall("GET", "/status", b"")),
+        (b"GET /status?x=1 HTTP/1.0\r\n\r\n", OneCall("GET", "/status", b"")),
+        (b"GET http://a/status HTTP/1.1\r\nHost: a\r\n\r\n", OneCall("GET", "/status", b"")),
+        (PUT + b"Content-Length: 2\r\n\r\ns1", OneCall("PUT", "/maintenance/enter", b"s1")),
+        (PUT + b"Content-Length: 2\r\n\r\ns1GET / HTTP/1.1\r\n\r\n",
+         OneCall("PUT", "/maintenance/enter", b"s1")),
+        (PUT + b"Transfer-Encoding: chunked\r\n\r\n1;x=y\r\ns\r\n1\r\n1\r\n0\r\nT: 1\r\n\r\n",
+         OneCall("PUT", "/maintenance/enter", b"s1")),
+        (PUT + b"Host: b\r\nContent-Length: 2\r\n\r\ns1", 400),
+        (PUT + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (PUT + b"Content-Length: -1\r\n\r\n", 400),
+        (PUT + b"Content-Length: %d\r\n\r\n" % (BODY_BYTES + 1), 413),
+        (PUT + b"Content-Length: 99999999999999999999\r\n\r\n", (413, 400)),
+        (PUT + b"Transfer-Encoding: chunked\r\n\r\n" + b"100\r\n%b\r\n" % (b"x" * 256) * 20, 413),
+        (PUT + b"X: " + b"y" * (HEAD_BYTES + 100), 431),
+        (b"\x16\x03\x01\x02\x00\x01\x00", 400),
+        (PUT + b"Content-Length: 20\r\n\r\ns1", None),
+    ],
+)  # fmt: skip
+def test_one_call_of_a_connection_however_it_is_cut(data: bytes, wanted: Any, step: int) -> None:
+    reader = Reader()
+    for at in range(0, len(data), step):
+        reader.feed(data[at : at + step])
+    if isinstance(wanted, OneCall | None):
+        assert (reader.call, reader.error) == (wanted, 0)
+    else:
+        assert reader.call is None and reader.error in (wanted if isinstance(wanted, tuple) else (wanted,))
+
+
+# ---- the module
+
+
+def picks(balancer: Any, now: float, numbers: range) -> list[str]:
+    """Where so many requests go, each served at once."""
+    found = []
+    for number in numbers:
+        (send,) = sends(ask(balancer, now, number))
+        found.append(send.server)
+        balancer.handle(now + 1, outcome(send, 0, "ok", 1.0))
+    return found
+
+
+@pytest.mark.parametrize(
+    "meanwhile",
+    [
+        [],
+        [listed(range(4), "whole")],
+        [io.ListUpdate("changes", (entry(0),))],
+        [io.ListUpdate("changes", (entry(0, "draining"),)), io.ListUpdate("changes", (entry(0),))],
+        [io.ListUpdate("changes", (entry(0, "gone"),)), listed(range(4), "whole")],
+        [io.ListUpdate("changes", (entry(0, started=900.0),))],
+        [io.ByHand("s0", True), io.ByHand("s0", True)],
+    ],
+    ids=["calm", "whole", "ready", "drained", "gone and back", "born anew", "twice"],
+)
+def test_what_is_out_by_hand_stays_out_until_it_is_put_back_cold(meanwhile: list[io.Event]) -> None:
+    balancer = started(4)
+    balancer.handle(10.0, io.ByHand("s0", True))
+    for event in meanwhile:
+        balancer.handle(20.0, event)
+    assert "s0" not in picks(balancer, 30.0, range(200)) and balancer.avoided() == 1
+    balancer.handle(1_000.0, io.ByHand("s0", False))
+    assert balancer.avoided() == 0
+    back = balancer.servers["s0"]
+    assert back.cold_from == 1_000.0 and 0 < picks(balancer, 1_100.0, range(200, 300)).count("s0") <= 1
+    balancer.handle(1_200.0, io.ByHand("s0", False))  # a second call back: no second newcomer
+    assert back.cold_from == 1_000.0 and sum(s.p for s in balancer.ready) == pytest.approx(1.0)
+
+
+def test_the_last_ready_server_out_by_hand_leaves_requests_to_their_end() -> None:
+    balancer = started(1)
+    balancer.handle(0.0, io.ByHand("s0", True))
+    assert not sends(ask(balancer, 1.0, 1)) and not balancer.ready
+    assert finals(balancer.handle(900.0, io.Timer(2)))
+    balancer.handle(950.0, io.ByHand("s0", False))
+    balancer.handle(951.0, io.ListUpdate("changes", (entry(0, "draining"),)))
+    assert not balancer.ready
+
+
+def test_a_keyed_request_whose_group_is_out_is_not_sent_elsewhere() -> None:
+    balancer = started(4, classes=(FREE, KEYED))
+    (send,) = sends(ask(balancer, 0.0, 1, "book"))
+    home = balancer.servers[send.server].entry.cell
+    for server in list(balancer.servers.values()):
+        if server.entry.cell == home:
+            balancer.handle(1.0, io.ByHand(server.entry.server, True))
+    assert not sends(balancer.handle(5.0, outcome(send, 0, "reset", 5.0)))
+    assert isinstance(finals(balancer.handle(100.0, io.Timer(2)))[0], io.Fail)  # past its window
+
+
+# ---- on sockets
+
+
+async def call(world: World, data: bytes) -> Message:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port_of(world))
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(read_message(reader), 20)
+    finally:
+        writer.close()
+
+
+def port_of(world: World) -> int:
+    assert world.node.operations.server is not None
+    return int(world.node.operations.server.sockets[0].getsockname()[1])
+
+
+async def put(world: World, way: str, name: str) -> int:
+    head = f"PUT /maintenance/{way} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(name)}\r\n\r\n{name}"
+    return (await call(world, head.encode())).status
+
+
+async def figures(world: World) -> dict[str, int]:
+    body = (await call(world, b"GET /status/metrics HTTP/1.1\r\nHost: a\r\n\r\n")).body.decode()
+    pairs = (line.partition("=") for line in body.splitlines())
+    return {name: int(value) for name, _, value in pairs}
+
+
+class Watched(World):
+    admin = "127.0.0.1:0"
+
+
+@run
+async def test_calls_are_answered_and_what_is_no_call_changes_nothing() -> None:
+    async with Watched(2) as world:
+        status = b"GET /status HTTP/1.1\r\nHost: a\r\n\r\n"
+        assert (await call(world, status)).status == 200
+        for line, wanted in (
+            (b"GET /else", 404), (b"POST /status", 405), (b"GET /maintenance/enter", 405),
+            (b"DELETE /maintenance/enter", 405), (b"PUT /maintenance/enter", 400),
+        ):  # fmt: skip
+            assert (await call(world, line + b" HTTP/1.1\r\nHost: a\r\n\r\n")).status == wanted, line
+        assert [await put(world, "enter", "s9"), await put(world, "exit", "s9")] == [404, 404]
+        silent = [await asyncio.open_connection("127.0.0.1", port_of(world)) for _ in range(50)]
+        assert (await call(world, status)).status == 200
+        open_call, reader = silent[-1][1], silent[-1][0]
+        open_call.write(status[:10])
+        world.node.reconfigure(world.node.config)  # a reload while a call is open
+        open_call.write(status[10:])
+        assert (await read_message(reader)).status == 200
+        assert not world.node.engine.balancer.by_hand
+        world.node.front.draining = True
+        assert (await call(world, status)).status == 503
+        for _, writer in silent:
+            writer.close()
+
+
+@run
+async def test_an_upstream_out_by_hand_gets_nothing_and_comes_back() -> None:
+    async with Watched(2) as world:
+        for up in world.ups:
+            await until(lambda up=up: up.came) if await ask_until(world, up) else None
+        assert [await put(world, "enter", "s0"), await put(world, "enter", "s0")] == [200, 200]
+        before = len(world.ups[0].came)
+        await until(lambda: world.ups[0].left == len(world.ups[0].writers))  # nothing rests there
+        world.news(world.host(0), world.host(1), whole=True)
+        await until(lambda: world.node.watch.version == world.version)
+        for _ in range(40):
+            assert (await world.ask(request())).status == 200
+        assert len(world.ups[0].came) == before
+        assert (await figures(world))["edge.upstreams_excluded"] == 1
+        assert await put(world, "exit", "s0") == 200
+        assert await ask_until(world, world.ups[0], before)
+
+
+async def ask_until(world: World, up: Any, before: int = 0) -> bool:
+    for _ in range(2_000):
+        assert (await world.ask(request())).status == 200
+        if len(up.came) > before:
+            return True
+    return False
+
+
+@run
+async def test_figures_agree_with_what_the_peers_saw() -> None:
+    """Retries, a client that leaves, long and broken answers, refusals before the module and by it."""
+    async with Watched(1) as world:
+        saw = {"served": 0, "refused": 0, "failed": 0}
+
+        async def seen(data: bytes) -> None:
+            try:
+                status = (await world.ask(data)).status
+            except asyncio.IncompleteReadError:
+                status = 0
+            saw["served" if status == 200 else "refused" if status in (429, 503) else "failed"] += 1
+
+        long = reply(b"x" * 300_000)
+        tries = iter([reply(status="500 No"), reply(b"second"), long, long[:150_000], reply(status="500 No")])
+
+        async def script(message: Message, writer: asyncio.StreamWriter) -> None:
+            data = next(tries, b"")
+            writer.write(data)
+            if data == long[:150_000] or not data:
+                writer.close()
+
+        world.ups[0].script = script
+        await seen(request())  # tried again
+        await seen(request())  # streamed
+        await seen(request())  # broken while it was streamed
+        await seen(request("pay", b"p"))  # an error
+        await seen(request("pay", b"p"))  # a reset
+        await seen(request(left="0m"))  # out of time
+        await seen(request(fields="X-Big: " + "y" * 40_000 + "\r\n"))  # 431, its class was read
+        gate = asyncio.Event()
+
+        async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+
+        world.ups[0].script = wait
+        came = len(world.ups[0].came)
+        _, leaves = await world.connect()
+        leaves.write(request("pay", b"p"))
+        await until(lambda: len(world.ups[0].came) > came)
+        assert (await figures(world))["edge.in_flight"] == 1
+        leaves.transport.abort()
+        await until(lambda: not world.node.engine.calls)
+        told = await figures(world)
+        for how, count in saw.items():
+            assert sum(told[f"edge.{how}.{name}"] for name in ("read", "book", "pay")) == count, how
+        assert told["edge.attempts"] == len(world.ups[0].came)
+        assert told["edge.rejected.431"] == 1 and told["edge.in_flight"] == 0
+        assert told["edge.upstreams_known"] == 1
+
+
+@run
+async def test_no_second_address_means_no_second_listener() -> None:
+    async with World(1) as world:
+        assert world.node.operations.server is None
+        with pytest.raises(OSError), socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            other.bind(("127.0.0.1", world.port))
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -13,8 +13,8 @@
 from hypothesis import strategies as st
 from peers import World, run, until
 
-from quartzford import interface as io
-from quartzford.logic import Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.logic import Balancer
 from quartzford.membership import watch as source
 from quartzford.membership.listing import Listing
 from quartzford.membership.pieces import Queue, pieces
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -16,7 +16,7 @@
 import uvloop
 from peers import SETTINGS, read_message, run, until
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.engine import LoopClock
 from quartzford.load.driver import Target
 from quartzford.load.run import Load, plan
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,8 +11,8 @@
 from hypothesis import settings as budget
 from hypothesis import strategies as st
 
-from quartzford import interface as io
-from quartzford.logic import PROOF, Balancer
+from quartzford.decision import interface as io
+from quartzford.decision.logic import PROOF, Balancer
 
 CODES = ("ok", "error", "full", "timeout", "connect_failed", "reset")
 KIND = {c.name: c for c in CLASSES}
--- a/tests/test_sameness.py
+++ b/tests/test_sameness.py
@@ -21,10 +21,10 @@
 from reference_policy import Balancer as Reference
 from streams_of_events import Plan, play, settings_of
 
-from quartzford import automaton, eligibility
-from quartzford import interface as io
-from quartzford.automaton import ArrayShares, PlainShares
-from quartzford.logic import Balancer
+from quartzford.decision import automaton, eligibility
+from quartzford.decision import interface as io
+from quartzford.decision.automaton import ArrayShares, PlainShares
+from quartzford.decision.logic import Balancer
 
 PLANS = {
     "plain": Plan(servers=12, events=500),
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -9,7 +9,7 @@
 import uvloop
 from peers import Message, World, reply, request, run, says, until
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.membership import watch as source
 from quartzford.membership.listing import read_listing
 
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -11,9 +11,9 @@
 import uvloop
 from peers import Message, Script, World, read_message, reply, request, run, says, silent, until
 
-from quartzford import interface as io
-from quartzford.config import REPORT_NAMES
-from quartzford.fields import read_report
+from quartzford.decision import interface as io
+from quartzford.settings.fields import read_report
+from quartzford.settings.platform import REPORT_NAMES
 
 LONG = 300_000
 
--- a/tests/test_sockets_requests.py
+++ b/tests/test_sockets_requests.py
@@ -9,7 +9,7 @@
 import uvloop
 from peers import Message, World, read_message, reply, request, run, says, silent, until
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 
 
 @run
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -51,7 +51,7 @@
     for path in (PACKAGE / "engine").glob("*.py"):
         named = imports(path)
         above = {n for n in named if n.startswith("quartzford.") and n.split(".")[1] not in
-                 ("engine", "interface", "logic")}  # fmt: skip
+                 ("engine", "decision")}  # fmt: skip
         assert not above, f"{path.name}: {above}"
         assert not named & {"socket", "ssl", "httptools", "random"}, path.name
 
@@ -66,7 +66,8 @@
 
 def test_modules_that_decide_do_no_io() -> None:
     """Imports alone: a clock, a socket or a draw of their own would be named here."""
-    pure = ("logic.py", "interface.py", "backends/caller.py", "protocols/http2.py", "load/shapes.py",
+    pure = ("decision/logic.py", "decision/interface.py", "decision/eligibility.py", "backends/caller.py",
+            "protocols/http2.py", "protocols/onecall.py", "membership/roster.py", "load/shapes.py",
             "load/clients.py", "load/trace.py", "load/record.py",
             *(f"fronts/extproc/{n}.py" for n in ("desk", "intake", "outcome", "token")))  # fmt: skip
     for name in pure:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from peers import World, request, run, until
 
-from quartzford import interface as io
+from quartzford.decision import interface as io
 from quartzford.membership.listing import Listing
 from quartzford.membership.subset import SLACK, Subset
 
