--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -23,13 +23,17 @@
         config = load()
         node.reconfigure(config)
     except ConfigError as error:
+        node.engine.figures.reloads["failed"] += 1
         return node.log.line("reload", f"{error}; the settings in force stay")
+    node.engine.figures.reloads["ok"] += 1
     node.log.line("reload", f"in force, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
 
 async def run(config: Config) -> None:
     loop = asyncio.get_running_loop()
-    node = Node(config, loop)
+    # The platform keeps $TMPDIR between a process and the one that replaces it.
+    folder = os.environ.get("TMPDIR", "") if config.admin is not None else ""
+    node = Node(config, loop, folder=folder)
     loop.add_signal_handler(signal.SIGHUP, reload, node)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.terminate)
--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections import deque
 from typing import Any, NamedTuple, Protocol, cast
@@ -93,6 +94,11 @@
                 return True
         return False
 
+    def trim(self) -> None:
+        """End what rests: another process needs the descriptors."""
+        for upstream in self.upstreams.values():
+            upstream.expire(math.inf)
+
     def listed(self, listing: Listing) -> None:
         if listing.whole:
             named = {entry.server for entry in listing.entries}
--- a/quartzford/decision/automaton.py
+++ b/quartzford/decision/automaton.py
@@ -158,6 +158,24 @@
         if self.scores % RENEW == 0:
             self._rescale(1.0 / self._sum(self.p))
 
+    def recall(self, rows: dict[int, tuple[float, float, float, float]]) -> None:
+        """P, cost, latency and report as a process before had them, by slot; others keep what they have."""
+        if not rows:
+            return
+        for slot, (p, cost, latency, report) in rows.items():
+            self.p[slot], self.cost[slot], self.latency[slot], self.report[slot] = p, cost, latency, report
+            self.base[slot] = K * self.toll[slot] + (1 - K) * DELTA * latency
+        known = [cost for _, cost, _, _ in rows.values() if cost > 0]
+        self.known = bool(known)
+        for slot in range(self.n):
+            if known and slot not in rows:
+                self.cost[slot] = sum(known) / len(known)
+        total = self._sum(self.p)
+        if total > 0:
+            self._rescale(1.0 / total)
+        else:
+            self._level()
+
     # ---- the draw
 
     def choose(self, query: Query, rng: random.Random) -> int:
--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -107,6 +107,7 @@
         self.order = count()
         self.cold: dict[Server, None] = {}
         self.by_hand: set[str] = set()  # out until the operators say otherwise, whatever the list says
+        self.aside = False  # a successor has the cold servers' budgets
         self.back: dict[str, float] = {}  # when what was out by hand came back
         self.units: float | None = None  # of all ready servers
         self.failing = 0.0  # of the whole fleet
@@ -319,12 +320,19 @@
 
     def _barred(self) -> list[int]:
         """Slow start: a cold server gets its ramp's part of what a warm one takes from this balancer."""
-        rules, now, sized = self.settings.rules, self.now, self.settings.sized
-        since = now - rules.cold_ms
+        since = self.now - self.settings.rules.cold_ms
         for server in [s for s in self.cold if not 0 < s.cold_from > since]:
             del self.cold[server]
         if not self.cold:
             return []
+        if self.aside:
+            return [server.at for server in self.cold]
+        self.accrue()
+        return [server.at for server in self.cold if server.tokens < 1.0]
+
+    def accrue(self) -> None:
+        """Bring the cold servers' budgets up to this moment."""
+        rules, now, sized = self.settings.rules, self.now, self.settings.sized
         if self.units is None:
             self.units = sum(s.entry.units if sized else 1.0 for s in self.ready)
         warm = self.units - sum(s.entry.units if sized else 1.0 for s in self.cold)
@@ -336,4 +344,3 @@
             take = (rules.start_capacity + (1 - rules.start_capacity) * age) * (rate * size or blind)
             server.tokens = min(1.0, server.tokens + take * (now - server.tokens_ms))
             server.tokens_ms = now
-        return [server.at for server in self.cold if server.tokens < 1.0]
--- a/quartzford/decision/interface.py
+++ b/quartzford/decision/interface.py
@@ -298,3 +298,73 @@
 
 
 Action = Send | Refuse | Fail | Cancel | Probe | Wake | Watch | Log
+
+
+# What a balancer knows, for the process that follows it
+
+
+@dataclass(frozen=True, slots=True)
+class RateMemory:
+    """A smoothed rate: since when, the last event, its value; times in Unix milliseconds."""
+
+    start: float = 0.0
+    last: float = 0.0
+    value: float = 0.0
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "start", "last", "value")
+
+
+@dataclass(frozen=True, slots=True)
+class ServerMemory:
+    """What a balancer has seen of one life of a ready server."""
+
+    name: str
+    started_ms: float
+    p: float
+    cost: float
+    latency: float
+    report: float
+    failing: float = 0.0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    suspect: bool = False
+    tokens: float = 0.0
+    tokens_ms: float = 0.0
+    cold_from: float = 0.0
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "started_ms", "p", "cost", "latency", "report", "failing", "ejections")
+        _not_negative(self, "ejected_until", "tokens_ms", "cold_from")
+        if not -1e6 < self.tokens <= 1 or self.failing > 1:
+            raise ValueError(f"{self.name}: tokens or failing is out of bounds")
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """All that a balancer has learnt, at one instant. peaks: (time, latency); offers: (worth, work)."""
+
+    servers: tuple[ServerMemory, ...] = ()
+    by_hand: tuple[str, ...] = ()
+    back: dict[str, float] = field(default_factory=dict)
+    failing: float = 0.0
+    arrivals: RateMemory = RateMemory()
+    answers: RateMemory = RateMemory()
+    usual: dict[str, float] = field(default_factory=dict)
+    peaks: tuple[tuple[float, float], ...] = ()
+    retry_budget: float = 0.0
+    tenants: dict[str, RateMemory] = field(default_factory=dict)
+    late: float = 0.0
+    shed: float = 0.0
+    shed_ms: float = 0.0
+    marginal: float = 0.5
+    offers: tuple[tuple[float, float], ...] = ()
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "failing", "late", "shed", "shed_ms", "marginal")
+        pairs = [number for pair in (*self.peaks, *self.offers) for number in pair]
+        for number in (*pairs, *self.back.values(), *self.usual.values()):
+            if not 0 <= number < float("inf"):
+                raise ValueError(f"{number!r} is not a figure of 0 or more")
+        if not -1e6 < self.retry_budget <= 1e6 or max(self.late, self.shed, self.failing) > 1:
+            raise ValueError("retry_budget, late, shed or failing is out of bounds")
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -15,6 +15,7 @@
 from quartzford.decision import interface as io
 from quartzford.decision.admission import LATE_FROM, Admission
 from quartzford.decision.eligibility import Fleet, Sent, Server
+from quartzford.decision.memory import recall, remember
 
 LOADS = ("depth", "concurrent", "load_share")
 MOST_REPORT = 1e9  # a report beyond this is taken for it
@@ -106,6 +107,28 @@
                 self._observe(event, "ok")
         return self.out
 
+    # ---- a process that follows this one
+
+    def hand_over(self, now_ms: float) -> io.Memory:
+        """What the successor is to know; from now on this one only ends what it has."""
+        self.now = self.fleet.now = max(self.now, now_ms)
+        memory = remember(self)
+        self.retry_budget /= 2
+        self.fleet.aside = True
+        return memory
+
+    def take_back(self, now_ms: float) -> None:
+        """The successor is no more: cold servers' budgets begin anew, as nobody knows what it sent."""
+        self.now = self.fleet.now = max(self.now, now_ms)
+        self.fleet.aside = False
+        for server in self.fleet.cold:
+            server.tokens, server.tokens_ms = 0.0, self.now
+
+    def inherit(self, now_ms: float, memory: io.Memory) -> None:
+        """What the process before knew, after its list was told."""
+        self.now = self.fleet.now = max(self.now, now_ms)
+        recall(self, memory)
+
     # ---- attempts
 
     def _dispatch(self, flight: Flight) -> None:
--- /dev/null
+++ b/quartzford/decision/memory.py
@@ -0,0 +1,115 @@
+"""What a balancer knows, taken out of it for its successor and put into one that has just started.
+
+Two processes during a replacement are one balancer. The one that hands over sends no more to cold servers:
+their budgets, as they stand, are the successor's. The retry budget is divided. A keyed request's window is
+not handed over: it stays with the request, and that with the process that took it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+from quartzford.decision import interface as io
+from quartzford.decision.admission import Admission
+from quartzford.decision.eligibility import EJECT_ABOVE, EJECT_MS, Fleet, Rate, Server
+
+
+class Learner(Protocol):
+    """A balancer, as far as it learns."""
+
+    fleet: Fleet
+    admission: Admission
+    classes: dict[str, io.ServiceClass]
+    usual: dict[str, float]
+    peaks: deque[tuple[float, float]]
+    retry_budget: float
+    now: float
+
+
+def remember(balancer: Learner) -> io.Memory:
+    """All that has been learnt, at this instant; half of the retry budget."""
+    fleet, admission = balancer.fleet, balancer.admission
+    if fleet.cold:
+        fleet.accrue()
+    return io.Memory(
+        servers=tuple(_server(fleet, server) for server in fleet.ready),
+        by_hand=tuple(fleet.by_hand),
+        back=dict(fleet.back),
+        failing=fleet.failing,
+        arrivals=_rate(fleet.arrivals),
+        answers=_rate(fleet.answers),
+        usual=dict(balancer.usual),
+        peaks=tuple(balancer.peaks),
+        retry_budget=balancer.retry_budget / 2,
+        tenants={name: _rate(rate) for name, rate in admission.rates.items()},
+        late=admission.late,
+        shed=admission.shed,
+        shed_ms=max(0.0, admission.shed_ms),
+        marginal=admission.marginal,
+        offers=tuple(admission.offers),
+    )
+
+
+def recall(balancer: Learner, memory: io.Memory) -> None:
+    """Put it into a balancer that has the list; servers that either does not know stay as they are."""
+    fleet, admission, now = balancer.fleet, balancer.admission, balancer.now
+    fleet.back.update(memory.back)
+    for name in memory.by_hand:
+        fleet.hand(name, True)
+    rows = {}
+    for told in memory.servers:
+        server = fleet.servers.get(told.name)
+        if server is None or server.at < 0 or server.entry.started_ms != told.started_ms:
+            continue
+        rows[server.at] = (told.p, told.cost, told.latency, told.report)
+        server.failing, server.ejections, server.ejected_until = (
+            told.failing, told.ejections, told.ejected_until,
+        )  # fmt: skip
+        if told.suspect:  # what was out at it stays with the process before: passed over for a while
+            server.ejected_until = max(server.ejected_until, now + EJECT_MS)
+        if server.failing > EJECT_ABOVE or server.ejected_until > now:
+            fleet.trouble[server] = None
+        server.tokens, server.tokens_ms = told.tokens, min(told.tokens_ms, now)
+        server.cold_from = max(server.cold_from, told.cold_from)
+        if server.cold_from > 0:
+            fleet.cold[server] = None
+    fleet.shares.recall(rows)
+    fleet.failing = memory.failing
+    fleet.arrivals, fleet.answers = _read(memory.arrivals, now), _read(memory.answers, now)
+    balancer.usual = {name: usual for name, usual in memory.usual.items() if name in balancer.classes}
+    balancer.peaks.extend(pair for pair in memory.peaks if pair[0] <= now)
+    balancer.retry_budget = min(10.0, memory.retry_budget)
+    admission.rates.update(
+        {
+            name: _read(rate, now)
+            for name, rate in memory.tenants.items()
+            if name in admission.quota or not name
+        }
+    )
+    admission.late, admission.shed, admission.marginal = memory.late, memory.shed, memory.marginal
+    admission.shed_ms = min(memory.shed_ms, now)
+    admission.offers.extend(memory.offers)
+
+
+def _server(fleet: Fleet, server: Server) -> io.ServerMemory:
+    shares, at = fleet.shares, server.at
+    first = next(iter(server.open.values()), None)
+    return io.ServerMemory(
+        server.entry.server, server.entry.started_ms, max(0.0, float(shares.p[at])),
+        float(shares.cost[at]) if shares.known else 0.0, float(shares.latency[at]), float(shares.report[at]),
+        min(1.0, max(0.0, server.failing)), server.ejections, max(0.0, server.ejected_until),
+        first is not None and first.due < fleet.now, server.tokens, max(0.0, server.tokens_ms),
+        server.cold_from,
+    )  # fmt: skip
+
+
+def _rate(rate: Rate) -> io.RateMemory:
+    return io.RateMemory(rate.start, rate.last, rate.value) if rate.value else io.RateMemory()
+
+
+def _read(memory: io.RateMemory, now: float) -> Rate:
+    rate = Rate()
+    if memory.value:
+        rate.start, rate.last, rate.value = min(memory.start, now), min(memory.last, now), memory.value
+    return rate
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -52,6 +52,16 @@
         self._adopt(settings)
         self.balancer.configure(settings)
 
+    def hand_over(self) -> io.Memory:
+        """What a successor is to know; this one only ends what it has from now on."""
+        return self.balancer.hand_over(self.clock.unix_ms())
+
+    def take_back(self) -> None:
+        self.balancer.take_back(self.clock.unix_ms())
+
+    def inherit(self, memory: io.Memory) -> None:
+        self.balancer.inherit(self.clock.unix_ms(), memory)
+
     def start(self) -> None:
         self.clock.call_later(OVERDUE_S, self._end_overdue)
 
--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -27,6 +27,7 @@
 PAUSED_S = 1.0
 PIPELINED = 16
 HIGH_BYTES = 16 * 1024
+BACKLOG = 2048
 HEALTH = b"/_health"
 
 REASONS = {
@@ -75,6 +76,22 @@
     def pause(self, paused: bool) -> None: ...
 
 
+def _bind(address: tuple[str, int], shared: bool) -> socket.socket:
+    family, kind, _, _, where = socket.getaddrinfo(*address, type=socket.SOCK_STREAM)[0]
+    sock = socket.socket(family, kind)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(where)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 class HttpFront:
     """The listener, its client connections, and the bound on them."""
 
@@ -82,21 +99,57 @@
         self, engine: Engine, backend: Backend, budget: Budget, clock: Clock, ready: Callable[[], bool]
     ) -> None:
         self.engine, self.backend, self.budget, self.ready = engine, backend, budget, ready
-        self.now = clock.now
+        self.clock, self.now = clock, clock.now
         self.clients: dict[Client, None] = {}
         self.most = 16
         self.draining = False  # no connection is kept after its answer
         self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None  # stays open while nobody accepts: its queue is kept
+        self.heir: Callable[[int], bool] | None = None  # takes the connections that rest
 
-    async def listen(self, address: tuple[str, int], loop: asyncio.AbstractEventLoop, shared: bool) -> None:
-        """shared: a successor may listen there too, while this process ends."""
-        self.server = await loop.create_server(
-            lambda: Client(self), *address, backlog=2048, reuse_port=shared or None
-        )
-
-    def stop_listening(self) -> None:
+    async def listen(
+        self, address: tuple[str, int], loop: asyncio.AbstractEventLoop, shared: bool = False,
+        listener: socket.socket | None = None,
+    ) -> None:  # fmt: skip
+        """shared: a successor may listen there too, while this process ends. listener: one that stands."""
+        self.loop = loop
+        self.listener = listener or _bind(address, shared)
+        await self.accept()
+
+    async def accept(self) -> None:
+        if self.server is None and self.listener is not None:
+            self.server = await self.loop.create_server(
+                lambda: Client(self), sock=self.listener.dup(), backlog=BACKLOG
+            )
+
+    def stop_accepting(self) -> socket.socket | None:
+        """Connections wait in the listener's queue, for whoever accepts there next."""
         if self.server is not None:
             self.server.close()
+            self.server = None
+        return self.listener
+
+    def stop_listening(self) -> None:
+        self.stop_accepting()
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    async def adopt(self, sock: socket.socket) -> None:
+        """A connection that rests, from the process before."""
+        try:
+            await self.loop.connect_accepted_socket(lambda: Client(self), sock)
+        except OSError:
+            sock.close()
+
+    def offer_all(self) -> None:
+        for client in list(self.clients):
+            self.offer(client)
+
+    def offer(self, client: Client) -> None:
+        """Hand a connection over, if nothing of a request or an answer is on its way."""
+        if self.heir is not None and client.rests():
+            client.hand_over(self.heir)
 
     def waiting(self) -> int:
         """Requests that have come whole behind others of their connection."""
@@ -490,6 +543,8 @@
             self._take(following, request)
         elif self.error:
             self.reject(self.error)
+        elif self.front.heir is not None:
+            self.front.clock.call_soon(self.front.offer, self)  # once its answer is written
 
     def _forget_waiting(self) -> None:
         """Pipelined requests that will not be taken give their bytes back."""
@@ -518,6 +573,21 @@
 
     # ---- housekeeping
 
+    def rests(self) -> bool:
+        """Nothing of a request has been read and nothing of an answer is left: another process may go on."""
+        return (
+            self.idle() and not self.waiting and not self.stuck and not self.error
+            and not self.transport.is_closing() and not self.transport.get_write_buffer_size()
+        )  # fmt: skip
+
+    def hand_over(self, heir: Callable[[int], bool]) -> None:
+        self.transport.pause_reading()
+        if heir(self.transport.get_extra_info("socket").fileno()):
+            self.closing, self.since = True, math.inf
+            self.transport.abort()  # this process's end only: the connection stands
+        else:
+            self.transport.resume_reading()
+
     def close_if_idle(self) -> None:
         if self.idle():
             self.closing, self.since = True, math.inf
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -5,7 +5,10 @@
 import asyncio
 import errno
 import math
-from typing import Protocol
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING, Protocol
 
 from quartzford.backends.http1 import HttpBackend
 from quartzford.decision import interface as io
@@ -19,7 +22,12 @@
 from quartzford.membership.watch import Watch
 from quartzford.settings.platform import Config, ConfigError
 
+if TYPE_CHECKING:
+    from quartzford.replacement.state import State
+    from quartzford.replacement.succession import Succession
+
 BASE_BYTES = 56 * 1024 * 1024  # the interpreter, the module and what sockets cost
+PAIR_BYTES = 30 * 1024 * 1024  # of each process while there are two: the interpreter without headroom
 BASE_DESCRIPTORS = 48
 CLIENT_SHARE = 0.5  # a request open at a client needs a descriptor upstream too, and may hold a third here
 SWEEP_S = 0.25
@@ -27,7 +35,7 @@
 NEW_CLIENTS_S = 0.6
 SPARE_END_S = 0.55
 SUMMARY_S = 10.0
-
+PASS_S = 0.02
 
 BIND_S = 5.0  # the address may still be held by the process that went before
 
@@ -41,7 +49,10 @@
 class Node:
     """One balancer on sockets: start, reload, housekeeping and end of its parts."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, subset: Subset | None = None) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, subset: Subset | None = None, folder: str = ""
+    ) -> None:
+        """folder: where this process and its successor find each other; "": they don't."""
         self.loop, self.subset = loop, subset
         self.clock = clock = LoopClock(loop)
         self.log = StderrLog(clock.now)
@@ -53,6 +64,16 @@
         self.roster = Roster()
         self.operations = OperationsFront(self, clock)
         self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
+        self.paired = False  # two processes are this balancer at present, and share its bounds
+        self.ending = False
+        self.busy_before = 0
+        self.succession: Succession | None = None
+        if folder:
+            # Only here: what is needed for it costs other runs nothing.
+            from quartzford.replacement.succession import Succession, place
+
+            path = place(str(Path(folder).resolve()), config.name, config.listen)
+            self.succession = Succession(self, path, clock, self.log, loop)
         self._configure(config)
         asked = config.settings.asks_list
         self.watch = Watch(self, lambda: self.config.discovery, asked, config.seed ^ 1, clock, self.log, loop)
@@ -60,15 +81,22 @@
         self.draining_since = math.inf
         self.finished = loop.create_future()
         self.ready_at = clock.now() + LISTED_S
+        self._memory: io.Memory | None = None
 
     # ---- start and end
 
     def _configure(self, config: Config) -> None:
         self.config = config
-        self.budget.limit = max(8 * 1024 * 1024, config.memory_bytes - BASE_BYTES)
         spare = max(16, config.descriptors - BASE_DESCRIPTORS)
-        self.front.most = int(CLIENT_SHARE * spare)
-        self.pool.configure(spare - self.front.most, config.idle_ms, config.connect_ms, config.report_names)
+        clients = int(CLIENT_SHARE * spare)
+        upstream = spare - clients
+        if self.paired:
+            self.budget.limit = max(4 * 1024 * 1024, config.memory_bytes // 2 - PAIR_BYTES)
+            clients, upstream = max(8, clients - self.busy_before), max(8, upstream // 2)
+        else:
+            self.budget.limit = max(8 * 1024 * 1024, config.memory_bytes - BASE_BYTES)
+        self.front.most = clients
+        self.pool.configure(upstream, config.idle_ms, config.connect_ms, config.report_names)
 
     def reconfigure(self, config: Config) -> None:
         """A new configuration, under load: what is in flight goes on, the list held stays until the next one.
@@ -86,11 +114,19 @@
             known = read_listing(self.config.known)
         except ValueError as error:
             raise ConfigError(f"known: {error}") from None
-        self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
-        self.watch.version = known.version
         if self.config.admin is not None and self.operations.server is None:
             await self._listen_for_operators(self.config.admin)
-        await self.front.listen(self.config.listen, self.loop, self.config.admin is not None)
+        listener = None
+        if self.succession is not None:
+            known, listener = await self._inherit(self.succession, known)
+        self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
+        self.watch.version = known.version
+        if self._memory is not None:
+            self.engine.inherit(self._memory)
+            self._memory = None
+        await self.front.listen(self.config.listen, self.loop, self.config.admin is not None, listener)
+        if self.succession is not None:
+            self.succession.serves()
         if not self.watch.asked:
             self.watch.start()
         self.clock.call_later(SUMMARY_S, self._summary)
@@ -99,32 +135,110 @@
 
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
-        if self.front.draining:
+        if self.ending:
             return False
         told = self.watch.heard or self.watch.asked or self.clock.now() >= self.ready_at
         return told and any(u.ready for u in self.pool.upstreams.values())
 
     def terminate(self) -> None:
-        if not self.front.draining:
-            self.front.draining = True
-            self.draining_since = self.clock.now()
-            self.clock.call_later(NEW_CLIENTS_S, self._stop_listening)
+        if self.ending:
+            return
+        self.ending = True
+        self.draining_since = self.clock.now()
+        if self.succession is None:
+            self.drain()
+        else:
+            self.succession.terminate()
+
+    def drain(self) -> None:
+        """End with no successor: new connections go on coming for a moment."""
+        self.front.draining = True
+        self.clock.call_later(NEW_CLIENTS_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
-        self.front.stop_listening()
-        self._end_when_quiet()
+        if self.front.draining:  # else a successor has come meanwhile
+            self.front.stop_listening()
+            self._end_when_quiet()
 
     def _end_when_quiet(self) -> None:
-        self.front.close_idle()
+        if self.front.draining:
+            self.front.close_idle()
         limit = self.draining_since + self.engine.longest_ms / 1000.0 + SPARE_END_S
         if not self.front.clients or self.clock.now() >= limit:
             self.watch.stop()
             self.operations.stop()
+            if self.succession is not None:
+                self.succession.stop()
             if not self.finished.done():
                 self.finished.set_result(None)
             return
         self.clock.call_later(0.02, self._end_when_quiet)
 
+    # ---- a process that follows this one, or went before
+
+    async def _inherit(self, succession: Succession, known: Listing) -> tuple[Listing, socket.socket | None]:
+        """The list and the listener of the process before, if it gives them; who is out is also on file."""
+        given = await succession.ask()
+        names, state = set(succession.names_out()), given.state if given is not None else None
+        if state is not None:
+            try:
+                known = read_listing(state.listing)
+                self._memory, self.busy_before = state.memory, max(0, state.busy)
+                names = set(state.memory.by_hand)
+                if state.heard:
+                    self.ready_at = self.clock.now()
+            except ValueError as error:
+                self.log.line("replacement", f"the list handed over can't be read: {error}")
+        for name in names:
+            self.engine.feed(io.ByHand(name, True))
+        if given is None:
+            return known, None
+        self.paired = True
+        self._configure(self.config)
+        return known, given.listener
+
+    def stand_down(self) -> tuple[socket.socket, State] | None:
+        from quartzford.replacement.state import FORMAT, State
+
+        listener = self.front.stop_accepting()
+        if listener is None:
+            return None
+        self.front.draining = False  # what rests is handed over, not closed
+        self.paired = True
+        self._configure(self.config)
+        busy = sum(not client.idle() for client in self.front.clients)
+        memory = self.engine.hand_over()
+        return listener, State(FORMAT, self.roster.table(), self.watch.heard, busy, memory)
+
+    def take_back(self) -> None:
+        self.alone()
+        self.engine.take_back()
+        self.loop.create_task(self.front.accept())
+
+    def hand_clients(self, hand: Callable[[int], bool] | None) -> None:
+        self.front.heir = hand
+        if hand is not None:
+            self.pool.trim()
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        if self.front.heir is not None:
+            self.front.offer_all()
+            self.clock.call_later(PASS_S, self._pass_on)
+
+    def leave(self) -> None:
+        self._end_when_quiet()
+
+    def client(self, sock: socket.socket) -> None:
+        self.loop.create_task(self.front.adopt(sock))
+
+    def told_by_hand(self, name: str, out: bool) -> None:
+        self._by_hand(name, out)
+
+    def alone(self) -> None:
+        self.paired, self.busy_before = False, 0
+        self._configure(self.config)
+
     # ---- what the watch tells
 
     def listed(self, listing: Listing) -> None:
@@ -160,11 +274,18 @@
         balancer = self.engine.balancer
         if name not in balancer.servers and name not in balancer.by_hand:
             return False
+        self._by_hand(name, out)
+        if self.succession is not None:
+            self.succession.by_hand(name, out, balancer.by_hand)
+        return True
+
+    def _by_hand(self, name: str, out: bool) -> None:
+        if out == (name in self.engine.balancer.by_hand):
+            return
         self.engine.feed(io.ByHand(name, out))
         for follower in self.followers:
             follower.listed(self.roster.one(name, out))
         self.log.line("by hand", f"{name[:100]} {'out' if out else 'back in use'}")
-        return True
 
     def figures(self, prefix: str) -> str:
         balancer, engine = self.engine.balancer, self.engine
--- /dev/null
+++ b/quartzford/replacement/state.py
@@ -0,0 +1,107 @@
+"""What passes between the two processes, in msgpack by msgspec: messages and the state, bounded.
+
+Messages are datagrams of at most MOST_BYTES on a SOCK_SEQPACKET socket; the state, which may be longer, goes
+in parts. What can't be read costs a cold start, never the service.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from quartzford.decision import interface as io
+
+FORMAT = 1
+MOST_BYTES = 48 * 1024  # of one message
+MOST_STATE = 16 * 1024 * 1024
+
+
+class Hello(msgspec.Struct, tag="hello"):
+    """The successor, ready to serve but for what it is about to be given."""
+
+    format: int
+    pid: int
+
+
+class Listener(msgspec.Struct, tag="listener"):
+    """With the listening socket. parts: of the state that follow."""
+
+    parts: int
+
+
+class Part(msgspec.Struct, tag="part"):
+    """A piece of the state, in order."""
+
+    number: int
+    data: bytes
+
+
+class Serves(msgspec.Struct, tag="serves"):
+    """The successor takes connections."""
+
+
+class Beat(msgspec.Struct, tag="beat"):
+    """The successor lives."""
+
+
+class Client(msgspec.Struct, tag="client"):
+    """With a client's connection at rest."""
+
+
+class Hand(msgspec.Struct, tag="hand"):
+    """An upstream was taken out, or put back, at the sender."""
+
+    name: str
+    out: bool
+
+
+Message = Hello | Listener | Part | Serves | Beat | Client | Hand
+
+
+class State(msgspec.Struct):
+    """All that the successor is given. listing: in discovery's form; busy: clients with a request open."""
+
+    format: int
+    listing: dict[str, Any]
+    heard: bool
+    busy: int
+    memory: io.Memory
+
+
+_encoder = msgspec.msgpack.Encoder()
+_messages: Any = msgspec.msgpack.Decoder(Message)
+_states: Any = msgspec.msgpack.Decoder(State)
+_formats: Any = msgspec.msgpack.Decoder(dict[str, Any])
+
+
+def write(message: Message) -> bytes:
+    return _encoder.encode(message)
+
+
+def read(data: bytes) -> Message:
+    """ValueError where it is none of ours."""
+    try:
+        message: Message = _messages.decode(data)
+        return message
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise ValueError(f"a message that can't be read: {error}") from None
+
+
+def parts(state: State) -> list[bytes]:
+    data = _encoder.encode(state)
+    return [data[at : at + MOST_BYTES // 2] for at in range(0, len(data), MOST_BYTES // 2)]
+
+
+def read_state(data: bytes) -> State:
+    """ValueError with the reason: another format, bounds, types, figures that can't be."""
+    if len(data) > MOST_STATE:
+        raise ValueError(f"a state of {len(data)} bytes; {MOST_STATE} are read at most")
+    try:
+        told = _formats.decode(data).get("format")
+        if told != FORMAT:
+            raise ValueError(f"a state of format {told!r}; this process reads {FORMAT}")
+        state: State = _states.decode(data)
+        return state
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, OverflowError) as error:
+        raise ValueError(f"a state that can't be read: {error}") from None
--- /dev/null
+++ b/quartzford/replacement/succession.py
@@ -0,0 +1,315 @@
+"""Both ends of a replacement: the process that may be followed, and the one that follows.
+
+The Unix socket lies under $TMPDIR, which both have in common. The successor connects when nothing is missing
+but what it is about to be given; its predecessor answers with the listening socket and its state, and hands
+over the clients' connections from the moment at which the successor says that it serves. docs/replacement.md
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import os
+import socket
+from collections.abc import Callable, Iterator
+from typing import NamedTuple, Protocol
+
+from quartzford.engine import Clock, Log
+from quartzford.replacement.book import read_book, write_book
+from quartzford.replacement.channel import Channel, same_user
+from quartzford.replacement.phases import News, Phase, Phases, Step
+from quartzford.replacement.state import (
+    FORMAT,
+    MOST_STATE,
+    Beat,
+    Client,
+    Hand,
+    Hello,
+    Listener,
+    Message,
+    Part,
+    Serves,
+    State,
+    parts,
+    read_state,
+)  # fmt: skip
+
+ASK_S = 1.0  # for how long the predecessor's answer is waited for
+OFFER_S = 1.5  # a successor that does not serve by then is lost
+SILENT_S = 3.0  # so is one that has said nothing for so long
+BEAT_S = 0.5
+
+
+class Given(NamedTuple):
+    """What a predecessor gave: its listener, and its state unless that could not be read."""
+
+    listener: socket.socket
+    state: State | None
+
+
+class Replaceable(Protocol):
+    """The balancer that is replaced, or that replaces one."""
+
+    def stand_down(self) -> tuple[socket.socket, State] | None:
+        """Take no connection from now on; the listener, if it still stands, and what is known."""
+
+    def take_back(self) -> None: ...
+
+    def hand_clients(self, hand: Callable[[int], bool] | None) -> None:
+        """Hand over each client's connection that rests, now and from now on; None: no longer."""
+
+    def drain(self) -> None: ...
+
+    def leave(self) -> None: ...
+
+    def client(self, sock: socket.socket) -> None:
+        """A client's connection from the process before."""
+
+    def told_by_hand(self, name: str, out: bool) -> None:
+        """The other process was told this."""
+
+    def alone(self) -> None:
+        """The process before is no more."""
+
+
+def place(folder: str, name: str, listen: tuple[str, int]) -> str:
+    """The path of this balancer's files in a folder, without an ending."""
+    mark = hashlib.sha256(f"{name} {listen[0]} {listen[1]}".encode()).hexdigest()[:12]
+    return os.path.join(folder, f"quartzford-{mark}")
+
+
+@contextlib.contextmanager
+def _short(path: str) -> Iterator[str]:
+    """A path that fits into a socket's address, however deep its folder lies."""
+    folder = os.open(os.path.dirname(path), os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{os.path.basename(path)}"
+    finally:
+        os.close(folder)
+
+
+class Succession:
+    """This process's place in the line of processes that are one balancer."""
+
+    def __init__(
+        self, node: Replaceable, path: str, clock: Clock, log: Log, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.node, self.path, self.clock, self.log, self.loop = node, path, clock, log, loop
+        self.phases = Phases(self._carry_out)
+        self.listener: socket.socket | None = None
+        self.before: Channel | None = None  # to the process before
+        self.after: Channel | None = None  # to the one that follows
+        self.heard = 0.0
+        self.given: asyncio.Future[Given | None] | None = None
+        self._fd: int | None = None
+        self._pieces: list[bytes] = []
+        self._missing = 0
+
+    # ---- the successor
+
+    async def ask(self) -> Given | None:
+        """What the process before gives; None where there is none, or it does not answer."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            sock.setblocking(False)
+            with _short(self.path + ".sock") as short:
+                sock.connect(short)
+            if not same_user(sock):
+                raise OSError("it belongs to another user")
+        except OSError as error:
+            sock.close()
+            if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
+                self.log.line("replacement", f"nothing is taken over: {error}")
+            return None
+        self.given = self.loop.create_future()
+        self.before = Channel(sock, self.loop, self._before_told, self._before_ended)
+        self.before.send(Hello(FORMAT, os.getpid()))
+        try:
+            return await asyncio.wait_for(self.given, ASK_S)
+        except TimeoutError:
+            self.log.line("replacement", "the process before does not answer; nothing is taken over")
+            self.before.close("late")
+            return None
+
+    def serves(self) -> None:
+        """This process takes connections: the one before may hand over, the next one may come."""
+        if self.before is not None:
+            self.before.send(Serves())
+            self._beat()
+        self._await_successor()
+
+    def names_out(self) -> list[str]:
+        """Who was out by hand, by the book."""
+        return read_book(self.path + ".out")
+
+    def _beat(self) -> None:
+        if self.before is not None and self.before.open:
+            self.before.send(Beat())
+            self.clock.call_later(BEAT_S, self._beat)
+
+    def _before_told(self, message: Message, descriptors: list[int]) -> None:
+        match message:
+            case Listener(count) if len(descriptors) == 1 and self._fd is None:
+                self._fd, self._missing = descriptors.pop(), count
+            case Part(_, data) if self._missing > 0:
+                self._pieces.append(data)
+                self._missing -= 1
+                if sum(map(len, self._pieces)) > MOST_STATE:
+                    self._pieces, self._missing = [b""], 0
+            case Client() if len(descriptors) == 1:
+                self.node.client(socket.socket(fileno=descriptors.pop()))
+            case Hand(name, out):
+                self.node.told_by_hand(name, out)
+        for fd in descriptors:
+            os.close(fd)
+        if self._fd is not None and not self._missing and self.given is not None and not self.given.done():
+            listener, self._fd = socket.socket(fileno=self._fd), -1
+            try:
+                state = read_state(b"".join(self._pieces))
+            except ValueError as error:
+                self.log.line("replacement", f"{error}; a cold start, with the connections")
+                state = None
+            self._pieces = []
+            self.given.set_result(Given(listener, state))
+
+    def _before_ended(self, why: str) -> None:
+        if self._fd is not None and self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
+        if self.given is not None and not self.given.done():
+            self.log.line("replacement", f"the process before gave nothing whole: {why}")
+            self.given.set_result(None)
+        self.before = None
+        self.node.alone()
+
+    # ---- the predecessor
+
+    def _await_successor(self) -> None:
+        """Listen under a name of its own, then take over the path: a stale file is no obstacle."""
+        path = self.path + ".sock"
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            sock.setblocking(False)
+            own = f"{path}.{os.getpid()}"
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(own)
+            with _short(own) as short:
+                sock.bind(short)
+            os.chmod(own, 0o600)
+            sock.listen(4)
+            os.replace(own, path)
+        except OSError as error:
+            return self.log.line("replacement", f"no successor can take over: {error}")
+        self.listener = sock
+        self.loop.add_reader(sock, self._successor)
+
+    def _successor(self) -> None:
+        assert self.listener is not None
+        try:
+            sock, _ = self.listener.accept()
+        except OSError:
+            return
+        if not same_user(sock):
+            return sock.close()
+        channel: Channel
+
+        def told(message: Message, descriptors: list[int]) -> None:
+            for fd in descriptors:
+                os.close(fd)
+            self._after_told(channel, message)
+
+        def ended(why: str) -> None:
+            self._after_ended(channel, why)
+
+        channel = Channel(sock, self.loop, told, ended)
+
+    def _after_told(self, channel: Channel, message: Message) -> None:
+        self.heard = self.clock.now()
+        match message:
+            case Hello(_, pid):
+                if self.after is not None and self.phases.phase in (Phase.OFFERED, Phase.PASSING):
+                    self.after.close("a newer one has come")  # which had not served yet
+                if self.after is not None:
+                    return channel.close("there is a successor")
+                self.after = channel
+                self.log.line("replacement", f"process {pid} takes over")
+                if not self.phases.tell(News.HELLO):
+                    channel.close("not now")
+                self._guard()
+            case Serves() if channel is self.after:
+                self.phases.tell(News.SERVES)
+            case Hand(name, out) if channel is self.after:
+                self.node.told_by_hand(name, out)
+
+    def _after_ended(self, channel: Channel, why: str) -> None:
+        if channel is self.after:
+            self.after = None
+            self.node.hand_clients(None)
+            if self.phases.tell(News.LOST):
+                self.log.line("replacement", f"the successor is lost: {why}")
+
+    def _guard(self) -> None:
+        """A successor that hangs is as good as lost."""
+        if self.after is None:
+            return
+        offered = self.phases.phase in (Phase.OFFERED, Phase.PASSING)
+        if self.clock.now() - self.heard > (OFFER_S if offered else SILENT_S):
+            return self.after.close("it is silent")
+        self.clock.call_later(0.25, self._guard)
+
+    def _carry_out(self, step: Step) -> None:
+        match step:
+            case Step.STAND_DOWN:
+                self._offer()
+            case Step.HAND:
+                self.node.hand_clients(self._hand)
+            case Step.TAKE_BACK:
+                self.node.take_back()
+            case Step.DRAIN:
+                self.node.drain()
+            case Step.LEAVE:
+                self.node.leave()
+
+    def _offer(self) -> None:
+        assert self.after is not None
+        offer = self.node.stand_down()
+        if offer is None:
+            return self.after.close("there is nothing left to take over")
+        listener, state = offer
+        pieces = parts(state)
+        self.after.send(Listener(len(pieces)), (listener.fileno(),))
+        for number, data in enumerate(pieces):
+            self.after.send(Part(number, data))
+
+    def _hand(self, descriptor: int) -> bool:
+        return self.after is not None and self.after.pass_on(Client(), descriptor)
+
+    # ---- both
+
+    def by_hand(self, name: str, out: bool, names: set[str]) -> None:
+        """This process was told so by an operator: the other one hears of it, and it goes on file."""
+        for channel in (self.before, self.after):
+            if channel is not None:
+                channel.send(Hand(name, out))
+        self.note(names)
+
+    def note(self, names: set[str]) -> None:
+        try:
+            write_book(self.path + ".out", names)
+        except OSError as error:
+            self.log.line("replacement", f"who is out by hand could not go on file: {error}")
+
+    def terminate(self) -> None:
+        self.phases.tell(News.TERM)
+
+    def stop(self) -> None:
+        """The end of this process."""
+        if self.listener is not None:
+            self.loop.remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+        for channel in (self.before, self.after):
+            if channel is not None:
+                channel.ended = lambda why: None
+                channel.close("done")
--- /dev/null
+++ b/tests/test_replacement.py
@@ -0,0 +1,443 @@
+"""A process is replaced while it serves: the table, the state, and the failures, each on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import uvloop
+from helpers import ask, entry, outcome, sends, settings, started
+from peers import Message, World, read_message, reply, request, run, until
+from test_process import COMMAND, ROOT, free_port
+
+from quartzford.decision import interface as io
+from quartzford.decision.logic import Balancer
+from quartzford.engine import LoopClock, StderrLog
+from quartzford.replacement import state as wire
+from quartzford.replacement.phases import TABLE, News, Phase, Phases, Step
+from quartzford.replacement.succession import Succession, place
+
+# ---- the table
+
+
+def test_whatever_comes_in_whatever_order_one_process_serves_and_ends() -> None:
+    """Drawn news: it takes connections in SERVING and ENDING alone, and hands them to the living."""
+    for seed in range(300):
+        rng, steps = random.Random(seed), []
+        phases = Phases(steps.append)
+        accepting = True
+        successor = ended = False
+        for _ in range(30):
+            news = rng.choice(list(News))
+            steps.clear()
+            if not phases.tell(news):
+                continue
+            successor = news is not News.LOST and (successor or news is News.HELLO)
+            ended = ended or news is News.TERM
+            for step in steps:
+                assert step is not Step.HAND or successor
+                accepting = step is Step.TAKE_BACK or (accepting and step is not Step.STAND_DOWN)
+            assert accepting == (phases.phase in (Phase.SERVING, Phase.ENDING)), (seed, phases.phase)
+            assert ended == (phases.phase in (Phase.ENDING, Phase.PASSING, Phase.LEAVING))
+            assert successor == (phases.phase not in (Phase.SERVING, Phase.ENDING))
+    assert {phase for phase, _ in TABLE} | {after for after, _ in TABLE.values()} == set(Phase)
+
+
+# ---- what is handed over
+
+
+def learnt() -> Balancer:
+    """A balancer with a fast and a failing server, a cold one, one out by hand and one suspect."""
+    balancer = started(6)
+    balancer.handle(5.0, io.ByHand("s5", True))
+    balancer.handle(6.0, io.ListUpdate("changes", (entry(4, started=5.0),)))
+    for number in range(400):
+        now = 10.0 + 5 * number
+        for send in sends(ask(balancer, now, number)):
+            bad = send.server == "s0"
+            spent = 5.0 if send.server == "s1" else 20.0
+            actions = balancer.handle(now + 4, outcome(send, 0, "error" if bad else "ok", spent))
+            for again in sends(actions):
+                balancer.handle(now + 4.5, outcome(again, 1, "ok", spent))
+    return balancer
+
+
+def test_a_successor_goes_on_where_the_process_before_stopped() -> None:
+    old, now = learnt(), 2_100.0
+    before = {s.entry.server: (s.p, s.cost, s.failing, max(0.0, s.ejected_until)) for s in old.ready}
+    budget = old.retry_budget
+    memory = wire.read_state(b"".join(wire.parts(wire.State(1, {}, True, 0, old.hand_over(now))))).memory
+    new = Balancer(settings(), 99)
+    new.handle(now, io.ListUpdate("stale", tuple(s.entry for s in old.servers.values())))
+    new.inherit(now, memory)
+    after = {s.entry.server: (s.p, s.cost, s.failing, max(0.0, s.ejected_until)) for s in new.ready}
+    assert set(after) == set(before) and "s5" not in after and new.by_hand == {"s5"}
+    for name, values in after.items():
+        assert values == pytest.approx(before[name], abs=1e-9), name
+    assert new.usual == old.usual and new.retry_budget + old.retry_budget == pytest.approx(budget)
+    # One budget for the cold server: the old process has none of it left, the new one what was left.
+    cold = new.servers["s4"]
+    assert cold in new.fleet.cold and cold.tokens == old.servers["s4"].tokens
+    old_sends = {s.server for n in range(200) for s in sends(ask(old, now + 5_000, 9_000 + n))}
+    assert "s4" not in old_sends and old_sends
+    old.take_back(now + 5_001)
+    assert old.servers["s4"].tokens == 0.0
+
+
+def test_servers_of_another_life_and_unknown_ones_start_as_they_are() -> None:
+    old = learnt()
+    memory = old.hand_over(2_100.0)
+    new = Balancer(settings(), 1)
+    new.handle(2_100.0, io.ListUpdate("stale", (entry(0, started=2_000.0), entry(1), entry(9))))
+    new.inherit(2_100.0, memory)
+    assert new.servers["s0"].failing == 0.0 and sum(s.p for s in new.ready) == pytest.approx(1.0)
+    assert new.servers["s9"].p > 0 and new.servers["s9"].cost == pytest.approx(new.servers["s1"].cost)
+    assert sends(ask(new, 2_101.0, 1))
+
+
+def _table(**changes: Any) -> dict[str, Any]:
+    memory = learnt().hand_over(2_100.0)
+    return msgspec.to_builtins(wire.State(1, {}, True, 0, memory)) | changes
+
+
+def _memory(**changes: Any) -> dict[str, Any]:
+    table = _table()
+    return table | {"memory": table["memory"] | changes}
+
+
+@pytest.mark.parametrize(
+    ("table", "reason"),
+    [
+        (lambda: _table(format=2), "format 2"),
+        (lambda: {"format": None}, "format None"),
+        (lambda: _table(memory=None), "memory"),
+        (lambda: _memory(shed=float("nan")), "shed"),
+        (lambda: _memory(late=7.0), "late"),
+        (lambda: _memory(retry_budget=1e300), "retry_budget"),
+        (lambda: _memory(usual={"read": float("inf")}), "inf"),
+        (lambda: _memory(peaks=[[1.0, -5.0]]), "-5.0"),
+        (lambda: _memory(servers=[_memory()["memory"]["servers"][0] | {"p": -1.0}]), "p:"),
+        (lambda: _memory(servers=[_memory()["memory"]["servers"][0] | {"tokens": 50.0}]), "tokens"),
+        (lambda: [1], "object"),
+        (lambda: b"\xc1", "state that can't"),
+    ],
+)  # fmt: skip
+def test_a_state_that_can_t_be_is_turned_away_with_its_reason(table: Any, reason: str) -> None:
+    made = table()
+    data = made if isinstance(made, bytes) else msgspec.msgpack.encode(made)
+    with pytest.raises(ValueError, match=reason):
+        wire.read_state(data)
+    for cut in range(0, len(data), max(1, len(data) // 40)):
+        with suppress(ValueError):
+            wire.read_state(data[:cut])
+
+
+# ---- processes
+
+
+class Line:
+    """A balancer's processes, one after the other, in one folder."""
+
+    def __init__(self, path: Path, upstreams: int) -> None:
+        self.path, self.world = path, World(upstreams)
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.admins: list[int] = []
+        self.folder = path / "t"
+
+    async def begin(self) -> None:
+        self.folder.mkdir()
+        for peer in (*self.world.ups, self.world.discovery):
+            await peer.start()
+        self.port = await free_port()
+        self.config = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "ab12",
+            "discovery": f"127.0.0.1:{self.world.discovery.port}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self.world.list(*(self.world.host(n) for n in range(len(self.world.ups)))),
+            "settings": self.world.settings,
+        }  # fmt: skip
+        await self.start()
+        await self.yes()
+
+    async def start(self, config: Any = None) -> asyncio.subprocess.Process:
+        self.admins.append(await free_port())
+        file = self.path / f"{len(self.admins)}.json"
+        file.write_text(json.dumps(config or self.config))
+        env = {**os.environ, "EDGE_CONFIG": str(file), "TMPDIR": str(self.folder),
+               "EDGE_ADMIN_ADDR": f"127.0.0.1:{self.admins[-1]}"}  # fmt: skip
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", COMMAND, cwd=ROOT, env=env, stderr=asyncio.subprocess.DEVNULL
+        )
+        self.processes.append(process)
+        return process
+
+    async def call(self, line: str, body: str = "", at: int = -1) -> Message:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.admins[at])
+        writer.write(f"{line} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        try:
+            return await asyncio.wait_for(read_message(reader), 20)
+        finally:
+            writer.close()
+
+    async def yes(self, at: int = -1) -> None:
+        for _ in range(1000):
+            with suppress(OSError, asyncio.IncompleteReadError):
+                if (await self.call("GET /status", at=at)).status == 200:
+                    return
+            await asyncio.sleep(0.01)
+        raise AssertionError("it was never ready")
+
+    async def figures(self, at: int = -1) -> dict[str, int]:
+        body = (await self.call("GET /status/metrics", at=at)).body.decode()
+        return {name: int(value) for name, _, value in (li.partition("=") for li in body.splitlines())}
+
+    async def until_figure(self, name: str, wanted: int, at: int = -1) -> None:
+        for _ in range(1000):
+            if (await self.figures(at))[f"edge.{name}"] == wanted:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"{name} was never {wanted}")
+
+    async def replace(self) -> None:
+        """As the platform does: SIGTERM to the old one at the new one's yes."""
+        old = self.processes[-1]
+        await self.start()
+        await self.yes()
+        old.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(old.wait(), 20) == 0
+
+    async def connect(self) -> Kept:
+        return Kept(*await asyncio.open_connection("127.0.0.1", self.port, limit=2**22))
+
+    async def ask(self, data: bytes | None = None) -> Message:
+        kept = await self.connect()
+        try:
+            return await asyncio.wait_for(kept.ask(data or request()), 20)
+        finally:
+            kept.writer.close()
+
+
+class Kept:
+    """A client's connection that is kept."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, data: bytes | None = None) -> Message:
+        self.writer.write(data or request())
+        return await read_message(self.reader)
+
+
+@asynccontextmanager
+async def line(path: Path, upstreams: int = 2) -> AsyncIterator[Line]:
+    it = Line(path, upstreams)
+    try:
+        await it.begin()
+        yield it
+    finally:
+        for process in it.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            await process.wait()
+        for peer in (*it.world.ups, it.world.discovery):
+            await peer.stop()
+
+
+def in_line(test: Any) -> Any:
+    def wrapped(tmp_path: Path) -> None:
+        async def body() -> None:
+            async with line(tmp_path) as it:
+                await test(it)
+
+        uvloop.run(asyncio.wait_for(body(), 60))
+
+    wrapped.__name__ = test.__name__
+    return wrapped
+
+
+@in_line
+async def test_two_replacements_in_a_row_lose_nothing_and_keep_every_connection(it: Line) -> None:
+    kept = [await it.connect() for _ in range(20)]
+    stop, served = asyncio.Event(), [0] * len(kept)
+
+    async def client(number: int) -> None:
+        while not stop.is_set():
+            answer = await kept[number].ask()
+            assert answer.status == 200 and answer.fields.get("connection") != "close"
+            served[number] += 1
+            await asyncio.sleep(0.002 * (number % 5))
+
+    resting = await it.connect()
+    assert (await resting.ask()).status == 200
+    clients = [asyncio.ensure_future(client(n)) for n in range(len(kept))]
+    await until(lambda: min(served) > 5)
+    assert (await it.call("PUT /maintenance/enter", "s0")).status == 200
+    for _ in range(2):
+        marks = list(served)
+        await it.replace()
+        await until(lambda marks=marks: all(a > b + 3 for a, b in zip(served, marks, strict=True)))
+    stop.set()
+    await asyncio.gather(*clients)
+    assert (await resting.ask()).status == 200
+    assert (await it.figures())["edge.upstreams_excluded"] == 1
+    came = len(it.world.ups[0].came)
+    assert (await it.ask()).status == 200 and len(it.world.ups[0].came) == came
+    assert (await it.call("PUT /maintenance/exit", "s0")).status == 200
+    await it.until_figure("upstreams_excluded", 0)
+
+
+@in_line
+async def test_what_is_open_ends_at_the_old_process_and_its_connection_goes_on(it: Line) -> None:
+    gate = asyncio.Event()
+
+    async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.write(reply(b"late"))
+
+    for up in it.world.ups:
+        up.script = wait
+    kept, half = await it.connect(), await it.connect()
+    asked = asyncio.ensure_future(kept.ask(request("pay", b"x")))
+    half.writer.write(request("pay", b"body")[:-2])
+    await until(lambda: sum(len(up.came) for up in it.world.ups) == 1)
+    old = it.processes[0]
+    await it.start()
+    await it.yes()
+    await it.until_figure("in_flight", 1, at=0)
+    old.send_signal(signal.SIGTERM)
+    half.writer.write(b"dy")
+    await until(lambda: sum(len(up.came) for up in it.world.ups) == 2)
+    gate.set()
+    assert (await asked).body == b"late" and (await read_message(half.reader)).body == b"late"
+    assert await asyncio.wait_for(old.wait(), 20) == 0
+    assert (await kept.ask()).status == (await half.ask()).status == 200
+    assert (await it.figures())["edge.served.read"] == 2
+
+
+@in_line
+async def test_calls_out_by_hand_go_both_ways_while_two_processes_live(it: Line) -> None:
+    await it.start()
+    await it.yes()
+    assert (await it.call("PUT /maintenance/enter", "s0", at=0)).status == 200
+    await it.until_figure("upstreams_excluded", 1, at=1)
+    assert (await it.call("PUT /maintenance/enter", "s1", at=1)).status == 200
+    await it.until_figure("upstreams_excluded", 2, at=0)
+    assert (await it.call("PUT /maintenance/exit", "s0", at=1)).status == 200
+    await it.until_figure("upstreams_excluded", 1, at=0)
+
+
+@in_line
+async def test_a_successor_that_dies_or_can_t_start_leaves_the_old_one_serving(it: Line) -> None:
+    kept = await it.connect()
+    assert (await kept.ask()).status == 200
+    bad = await it.start({**it.config, "seed": "xyz"})
+    assert await asyncio.wait_for(bad.wait(), 20) == 2
+    assert (await it.ask()).status == (await kept.ask()).status == 200
+    after = await it.start()
+    await it.yes()
+    assert (await it.ask()).status == 200
+    after.kill()
+    await after.wait()
+    assert (await it.ask()).status == 200  # it waited in the queue of a listener that both held
+    it.admins[1:] = []
+    it.processes[1:] = []
+    await it.replace()
+    assert (await it.ask()).status == 200
+
+
+async def offered(it: Line) -> tuple[socket.socket, list[int]]:
+    """A successor that we play: it has asked and was given the listener."""
+    path = place(str(it.folder.resolve()), "n0", ("127.0.0.1", it.port)) + ".sock"
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    os.chdir(it.folder)
+    try:
+        sock.connect(os.path.basename(path))
+    finally:
+        os.chdir(ROOT)
+    sock.setblocking(False)
+    sock.send(wire.write(wire.Hello(99, 1)))
+    descriptors: list[int] = []
+    while not descriptors:
+        with suppress(BlockingIOError):
+            _, descriptors, _, _ = socket.recv_fds(sock, 65_536, 8)
+        await asyncio.sleep(0.005)
+    return sock, descriptors
+
+
+@pytest.mark.parametrize("how", ["ends", "hangs", "talks nonsense"])
+def test_a_successor_lost_in_the_middle_gives_the_listener_back(tmp_path: Path, how: str) -> None:
+    async def test() -> None:
+        async with line(tmp_path) as it:
+            sock, descriptors = await offered(it)
+            asked = asyncio.ensure_future(it.ask())  # waits in the queue: nobody accepts
+            if how == "ends":
+                sock.close()
+            elif how == "talks nonsense":
+                sock.send(b"\xc1\xc1")
+            assert (await asked).status == 200
+            sock.close()
+            os.close(descriptors[0])
+            assert (await it.ask()).status == 200
+            await it.replace()
+
+    uvloop.run(asyncio.wait_for(test(), 60))
+
+
+@pytest.mark.parametrize("how", ["hangs", "killed"])
+def test_an_old_process_that_gives_nothing_costs_a_cold_start_and_no_ban(tmp_path: Path, how: str) -> None:
+    """Also: the socket's file of an earlier life is no obstacle."""
+
+    async def test() -> None:
+        async with line(tmp_path) as it:
+            assert (await it.call("PUT /maintenance/enter", "s1")).status == 200
+            it.processes[0].send_signal(signal.SIGSTOP if how == "hangs" else signal.SIGKILL)
+            if how == "killed":
+                await it.processes[0].wait()
+            await it.start()
+            await it.yes()
+            assert (await it.figures())["edge.upstreams_excluded"] == 1
+            if how == "hangs":  # half of the new connections wait in its queue until it is gone
+                it.processes[0].send_signal(signal.SIGKILL)
+                await it.processes[0].wait()
+            assert (await it.ask()).status == 200
+            it.processes[0:1] = []
+            await it.replace()
+            assert (await it.figures())["edge.upstreams_excluded"] == 1
+
+    uvloop.run(asyncio.wait_for(test(), 60))
+
+
+@run
+async def test_a_predecessor_of_another_version_gives_its_connections_all_the_same() -> None:
+    """State of a format that this process does not read: the listener is used, what was learnt is not."""
+    loop = asyncio.get_running_loop()
+    clock = LoopClock(loop)
+    with tempfile.TemporaryDirectory() as folder:
+        path = place(folder, "n0", ("127.0.0.1", 1))
+        server = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        server.bind(path + ".sock")
+        server.listen(1)
+        listener = socket.create_server(("127.0.0.1", 0))
+        asked = asyncio.ensure_future(
+            Succession(None, path, clock, StderrLog(clock.now), loop).ask()  # type: ignore[arg-type]
+        )
+        sock, _ = await loop.run_in_executor(None, server.accept)
+        assert isinstance(wire.read(sock.recv(65_536)), wire.Hello)
+        socket.send_fds(sock, [wire.write(wire.Listener(1))], [listener.fileno()])
+        sock.send(wire.write(wire.Part(0, msgspec.msgpack.encode({"format": 7, "news": [1, 2]}))))
+        given = await asked
+        assert given is not None and given.state is None
+        assert given.listener.getsockname() == listener.getsockname()
+        given.listener.close()
