Decisions: sheds no longer for good, fast failures ejected, silence seen sooner, cold ones grow

Ruled out: the list (heard 1.2 s after the start), the retry budget (full), cold budgets (full as well). It is suspect after two usual latencies with no answer and three out. - cold servers get up to twice what they answer well, at most half of what tips them. The reference of the sameness tests has the same changes.

--- a/quartzford/decision/admission.py
+++ b/quartzford/decision/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 
@@ -11,6 +12,8 @@
 LATE_FROM = 0.9  # share of the aim from which an attempt counts as late
 LATE_TARGET = 0.4  # share of late attempts that is borne if what would be refused is worth the average
 SHED_GAIN = 1.0  # change of the shed share a second, per share of late ends off target
+LATE_WEIGHT, LATE_MS = 0.05, 1_000.0  # of one end in the share of late ones, and the time that it remembers
+UNHEARD_MS = 250.0  # with no end for so long, what was late is forgotten all the same
 OFFERS = 100  # requests remembered for the order of worth
 
 
@@ -37,6 +40,8 @@
         factor = round(within + (1 - within) * self.settings.over_share_worth, 1)
         worth = kind.worth * factor / (1.0 if self.settings.worth_by_work else work)
         self.offers.append((worth, work))
+        if self.shed > 0 and now - self.shed_ms > UNHEARD_MS:
+            self.pace(now, False)
         if self.shed <= 0 and self.rng.random() < 0.9:
             return True
         total = less = same = weighed = 0.0
@@ -60,7 +65,11 @@
 
     def pace(self, now: float, late: bool) -> None:
         """An attempt came back, in time or late."""
-        self.late += 0.05 * (late - self.late)
-        span, self.shed_ms = min(1_000.0, now - self.shed_ms), now
+        since = now - self.shed_ms
+        # Where little is let in, few ends come: a good one must count for the time that it stands for, or a
+        # balancer that has shed nearly all goes on doing so long after its servers have recovered.
+        weight = LATE_WEIGHT if late else max(LATE_WEIGHT, 1.0 - math.exp(-since / LATE_MS))
+        self.late += weight * (late - self.late)
+        span, self.shed_ms = min(1_000.0, since), now
         change = SHED_GAIN * (self.late - LATE_TARGET * self.marginal) * span / 1000.0
         self.shed = min(0.95, max(0.0, self.shed + change))
--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -24,12 +24,16 @@
 EJECT_MAX_MS = 8_000.0
 EJECT_AT_MOST = 0.67  # of the ready servers, so that ejection never empties the fleet
 RATE_MS = 4_000.0
+PROVEN_MS = 2_000.0  # a cold server's own answers are counted over this
+GROWTH = 2.0  # a cold server may get this multiple of what it answers well; at most half of what tips it
+QUIET, QUIET_OPEN = 2.0, 3  # suspect: nothing answered for so many usual latencies, with so many out
 
 
 class Sent(NamedTuple):
     """An attempt that is out."""
 
     due: float  # past this, its server is suspect
+    usual: float  # its class's usual latency
     time_out: float
     kind: io.ServiceClass
 
@@ -50,6 +54,9 @@
     ejected_until: float = -math.inf
     tokens: float = 1.0  # slow-start budget
     tokens_ms: float = -math.inf
+    proven: float = 0.0  # answers in good time while cold, fading over PROVEN_MS
+    proven_ms: float = 0.0
+    quiet_ms: float = math.inf  # with nothing answered until then, it is suspect
     open: dict[Attempt, Sent] = field(default_factory=dict)
     shut: dict[str, float] = field(default_factory=dict)  # classes turned away, and till when
 
@@ -103,14 +110,16 @@
         self.zones: dict[str, int] = {}
         self.trouble: dict[Server, None] = {}  # failing, ejected or shut; looked at again before it counts
         self.late: dict[Server, None] = {}  # its oldest attempt is past its due; the same
+        self.mute: dict[Server, None] = {}  # has answered nothing for long, with several attempts out
         self.heads: list[tuple[float, int, Server, Attempt]] = []  # oldest attempts by their due
+        self.quiet: list[tuple[float, int, Server]] = []  # by when an answer is missed
         self.order = count()
         self.cold: dict[Server, None] = {}
         self.by_hand: set[str] = set()  # out until the operators say otherwise, whatever the list says
         self.aside = False  # a successor has the cold servers' budgets
         self.back: dict[str, float] = {}  # when what was out by hand came back
         self.units: float | None = None  # of all ready servers
-        self.failing = 0.0  # of the whole fleet
+        self.failing = 0.0  # sum over the ready servers
         self.arrivals, self.answers = Rate(), Rate()
         self.configure(settings)
 
@@ -185,6 +194,7 @@
     def _leave(self, server: Server) -> None:
         if server.at >= 0:
             self.shares.leave(server.at)
+            self.failing -= server.failing
             server.at = -1
             self.cold.pop(server, None)
 
@@ -194,6 +204,7 @@
             self._leave(server)
             self.trouble.pop(server, None)
             self.late.pop(server, None)
+            self.mute.pop(server, None)
 
     def hand(self, name: str, out: bool) -> None:
         """Out by hand: draining for this balancer, until it is put back as a newcomer."""
@@ -244,6 +255,16 @@
             self._head(server, following, its)
         return sent
 
+    def answered(self, server: Server, well: bool) -> None:
+        """An answer has come, well: in good time."""
+        server.quiet_ms = math.inf
+        if len(server.open) >= QUIET_OPEN:
+            server.quiet_ms = self.now + QUIET * next(iter(server.open.values())).usual
+            heapq.heappush(self.quiet, (server.quiet_ms, next(self.order), server))
+        if well and server in self.cold:
+            server.proven = server.proven * math.exp((server.proven_ms - self.now) / PROVEN_MS) + 1.0
+            server.proven_ms = self.now
+
     def _head(self, server: Server, attempt: Attempt, sent: Sent) -> None:
         heapq.heappush(self.heads, (sent.due, next(self.order), server, attempt))
 
@@ -254,19 +275,28 @@
 
     def health(self, server: Server, failed: bool) -> None:
         """Outlier ejection: above what the fleet fails, with a trial after each ejection."""
-        server.failing += FAIL_WEIGHT * (failed - server.failing)
-        self.failing += 0.02 * (failed - self.failing)
+        self.blame(server, server.failing + FAIL_WEIGHT * (failed - server.failing))
         if server.failing > EJECT_ABOVE:
             self.trouble[server] = None
         if not failed:
             server.ejections = 0 if server.failing < EJECT_ABOVE else server.ejections
-        elif server.failing > EJECT_ABOVE + 2 * self.failing and self.now >= server.ejected_until:
+        elif server.failing > EJECT_ABOVE + 2 * self._others(server) and self.now >= server.ejected_until:
             ejected = sum(self.now < s.ejected_until and s.at >= 0 for s in self.trouble)
             if ejected + 1 <= EJECT_AT_MOST * len(self.ready):
                 span = min(EJECT_MAX_MS, EJECT_MS * 2**server.ejections)
                 server.ejected_until = self.now + span * self.rng.uniform(0.75, 1.25)
                 server.ejections += 1
 
+    def blame(self, server: Server, failing: float) -> None:
+        if server.at >= 0:
+            self.failing += failing - server.failing
+        server.failing = failing
+
+    def _others(self, server: Server) -> float:
+        """What the others fail, each counted once: by attempts, one that fails fast is the yardstick."""
+        own = server.failing if server.at >= 0 else 0.0
+        return max(0.0, self.failing - own) / max(1, len(self.ready) - 1)
+
     # ---- the choice
 
     def pick(self, kind: io.ServiceClass, tried: list[str], bound: io.Entry | None) -> Server | None:
@@ -300,7 +330,11 @@
             listed = self.servers.get(server.entry.server) is server
             if listed and next(iter(server.open), None) == attempt:
                 self.late[server] = None
-        if not self.trouble and not self.late:
+        while self.quiet and self.quiet[0][0] < self.now:
+            due, _, server = heapq.heappop(self.quiet)
+            if server.quiet_ms == due and self.servers.get(server.entry.server) is server:
+                self.mute[server] = None
+        if not self.trouble and not self.late and not self.mute:
             return []
         found = []
         for server in list(self.trouble):
@@ -311,6 +345,11 @@
                 found.append(server.at)
             elif not trial and self.now >= max(server.ejected_until, *server.shut.values(), 0.0):
                 del self.trouble[server]
+        for server in list(self.mute):
+            if server.quiet_ms >= self.now:
+                del self.mute[server]
+            elif server.at >= 0 and len(server.open) >= QUIET_OPEN:
+                found.append(server.at)
         for server in list(self.late):
             if not server.open or next(iter(server.open.values())).due >= self.now:
                 del self.late[server]
@@ -341,6 +380,10 @@
         for server in self.cold:
             age = max(0.0, now - server.cold_from) / rules.cold_ms
             size = server.entry.units if sized else 1.0
-            take = (rules.start_capacity + (1 - rules.start_capacity) * age) * (rate * size or blind)
+            full = rate * size or blind
+            take = (rules.start_capacity + (1 - rules.start_capacity) * age) * full
+            # What it answers well it can do, and as much again does not tip it: it warms as fast as it can.
+            proven = server.proven * math.exp((server.proven_ms - now) / PROVEN_MS) / PROVEN_MS
+            take = max(take, min(full, min(GROWTH, rules.tip_multiple / 2) * proven))
             server.tokens = min(1.0, server.tokens + take * (now - server.tokens_ms))
             server.tokens_ms = now
--- a/quartzford/decision/interface.py
+++ b/quartzford/decision/interface.py
@@ -347,7 +347,6 @@
     servers: tuple[ServerMemory, ...] = ()
     by_hand: tuple[str, ...] = ()
     back: dict[str, float] = field(default_factory=dict)
-    failing: float = 0.0
     arrivals: RateMemory = RateMemory()
     answers: RateMemory = RateMemory()
     usual: dict[str, float] = field(default_factory=dict)
@@ -361,10 +360,10 @@
     offers: tuple[tuple[float, float], ...] = ()
 
     def __post_init__(self) -> None:
-        _not_negative(self, "failing", "late", "shed", "shed_ms", "marginal")
+        _not_negative(self, "late", "shed", "shed_ms", "marginal")
         pairs = [number for pair in (*self.peaks, *self.offers) for number in pair]
         for number in (*pairs, *self.back.values(), *self.usual.values()):
             if not 0 <= number < float("inf"):
                 raise ValueError(f"{number!r} is not a figure of 0 or more")
-        if not -1e6 < self.retry_budget <= 1e6 or max(self.late, self.shed, self.failing) > 1:
-            raise ValueError("retry_budget, late, shed or failing is out of bounds")
+        if not -1e6 < self.retry_budget <= 1e6 or max(self.late, self.shed) > 1:
+            raise ValueError("retry_budget, late or shed is out of bounds")
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -22,6 +22,7 @@
 FAIL_MEMORY_MS = 10_000.0  # a failure scores twice the largest latency of this span
 SUSPECT = 4.0  # an attempt out for this multiple of its class's usual latency makes its server suspect
 RETRY_SHARE = 0.1
+WELL = 2.0  # usual latencies within which an answer shows that its server can do what it was sent
 HOLD_MS = 25.0  # a request with no eligible server is looked at again after this
 MARGIN_MS = 3.0  # an answer needs this long to reach the client
 PATIENCE, LEAST = 4.0, 0.025  # waits for PATIENCE usual latencies, each LEAST of the aim, if it may go again
@@ -144,7 +145,7 @@
         again = again and self.retry_budget >= 1.0 and left > (PATIENCE + 1) * usual
         time_out = PATIENCE * usual if again else left  # giving up early with no retry to spend is a loss
         request, where = flight.request.request, server.entry
-        sent = Sent(self.now + SUSPECT * usual, time_out, flight.kind)
+        sent = Sent(self.now + SUSPECT * usual, usual, time_out, flight.kind)
         self.fleet.sent(server, (request, flight.sends), sent)
         if flight.bound is None:
             flight.bound, flight.bound_attempt, flight.bound_ms = where, flight.sends, self.now
@@ -211,6 +212,7 @@
             return
         if code == "ok":
             fleet.answers.add(self.now)
+            fleet.answered(server, spent <= WELL * self.usual.get(sent.kind.name, sent.kind.aim_ms / 4))
             usual = self.usual.get(sent.kind.name, spent)
             self.usual[sent.kind.name] = usual + 0.05 * (spent - usual)
             while self.peaks and self.peaks[-1][1] <= spent:
--- a/quartzford/decision/memory.py
+++ b/quartzford/decision/memory.py
@@ -36,7 +36,6 @@
         servers=tuple(_server(fleet, server) for server in fleet.ready),
         by_hand=tuple(fleet.by_hand),
         back=dict(fleet.back),
-        failing=fleet.failing,
         arrivals=_rate(fleet.arrivals),
         answers=_rate(fleet.answers),
         usual=dict(balancer.usual),
@@ -63,9 +62,8 @@
         if server is None or server.at < 0 or server.entry.started_ms != told.started_ms:
             continue
         rows[server.at] = (told.p, told.cost, told.latency, told.report)
-        server.failing, server.ejections, server.ejected_until = (
-            told.failing, told.ejections, told.ejected_until,
-        )  # fmt: skip
+        fleet.blame(server, told.failing)
+        server.ejections, server.ejected_until = told.ejections, told.ejected_until
         if told.suspect:  # what was out at it stays with the process before: passed over for a while
             server.ejected_until = max(server.ejected_until, now + EJECT_MS)
         if server.failing > EJECT_ABOVE or server.ejected_until > now:
@@ -75,7 +73,6 @@
         if server.cold_from > 0:
             fleet.cold[server] = None
     fleet.shares.recall(rows)
-    fleet.failing = memory.failing
     fleet.arrivals, fleet.answers = _read(memory.arrivals, now), _read(memory.answers, now)
     balancer.usual = {name: usual for name, usual in memory.usual.items() if name in balancer.classes}
     balancer.peaks.extend(pair for pair in memory.peaks if pair[0] <= now)
--- a/tests/reference_policy.py
+++ b/tests/reference_policy.py
@@ -45,6 +45,9 @@
 LATE_FROM = 0.9  # share of the aim from which an attempt counts as late
 LATE_TARGET = 0.4  # share of late attempts that is borne if what would be refused is worth the average
 SHED_GAIN = 1.0  # change of the shed share a second, per share of late ends off target
+LATE_WEIGHT, LATE_MS, UNHEARD_MS = 0.05, 1_000.0, 250.0
+PROVEN_MS, GROWTH, WELL = 2_000.0, 2.0, 2.0
+QUIET, QUIET_OPEN = 2.0, 3
 OFFERS = 100  # requests remembered for the order of worth
 
 PROOF = ("full", "connect_failed", "moot")  # outcomes that prove that the attempt never ran
@@ -55,6 +58,7 @@
     """An attempt that is out."""
 
     due: float  # past this, its server is suspect
+    usual: float
     time_out: float
     kind: io.ServiceClass
 
@@ -73,6 +77,9 @@
     ejected_until: float = -math.inf
     tokens: float = 1.0  # slow-start budget
     tokens_ms: float = -math.inf
+    proven: float = 0.0
+    proven_ms: float = 0.0
+    quiet_ms: float = math.inf
     open: dict[tuple[int, int], Sent] = field(default_factory=dict)
     shut: dict[str, float] = field(default_factory=dict)  # classes turned away, and till when
 
@@ -125,7 +132,7 @@
         self.flights: dict[int, Flight] = {}
         self.usual: dict[str, float] = {}  # smoothed latency of good answers, by class
         self.peaks: deque[tuple[float, float]] = deque()
-        self.fleet_failing, self.retry_budget = 0.0, 1.0
+        self.retry_budget = 1.0
         self.rates: dict[str, Rate] = {}  # by tenant
         self.arrivals, self.answers = Rate(), Rate()
         self.late, self.shed, self.shed_ms, self.marginal = 0.0, 0.0, 0.0, 0.5
@@ -236,6 +243,7 @@
         if self.now < max(server.ejected_until, server.shut.get(kind.name, 0.0)):
             return True
         late = bool(server.open) and next(iter(server.open.values())).due < self.now
+        late = late or (server.quiet_ms < self.now and len(server.open) >= QUIET_OPEN)
         # Past its ejection, one that has failed gets one trial at a time: only a success can clear it.
         return late or (server.failing > EJECT_ABOVE and bool(server.open))
 
@@ -251,7 +259,10 @@
         blind = self.arrivals.read(self.now) / len(self.ready)
         for s in cold:
             age = max(0.0, self.now - s.entry.started_ms) / self.settings.rules.cold_ms
-            take = (start + (1 - start) * age) * (rate * sizes[s] or blind)
+            full = rate * sizes[s] or blind
+            proven = s.proven * math.exp((s.proven_ms - self.now) / PROVEN_MS) / PROVEN_MS
+            grown = min(GROWTH, self.settings.rules.tip_multiple / 2) * proven
+            take = max((start + (1 - start) * age) * full, min(full, grown))
             s.tokens, s.tokens_ms = min(1.0, s.tokens + take * (self.now - s.tokens_ms)), self.now
         return [s for s in self.ready if s.tokens >= 1.0 or not 0 < s.entry.started_ms > since]
 
@@ -259,10 +270,11 @@
         """Outlier ejection: above what the fleet fails, with a trial after each ejection."""
         failed = code in ("error", "timeout", "reset", "connect_failed")
         server.failing += FAIL_WEIGHT * (failed - server.failing)
-        self.fleet_failing += 0.02 * (failed - self.fleet_failing)
+        others = [s.failing for s in self.ready if s is not server]
+        mean = sum(others) / max(1, len(self.ready) - 1)
         if not failed:
             server.ejections = 0 if server.failing < EJECT_ABOVE else server.ejections
-        elif server.failing > EJECT_ABOVE + 2 * self.fleet_failing and self.now >= server.ejected_until:
+        elif server.failing > EJECT_ABOVE + 2 * mean and self.now >= server.ejected_until:
             ejected = sum(self.now < s.ejected_until for s in self.ready)
             if ejected + 1 <= EJECT_AT_MOST * len(self.ready):
                 span = min(EJECT_MAX_MS, EJECT_MS * 2**server.ejections)
@@ -286,7 +298,7 @@
         again = again and self.retry_budget >= 1.0 and left > (PATIENCE + 1) * usual
         time_out = PATIENCE * usual if again else left  # giving up early with no retry to spend is a loss
         request, where = flight.request.request, server.entry
-        server.open[(request, flight.sends)] = Sent(self.now + SUSPECT * usual, time_out, flight.kind)
+        server.open[(request, flight.sends)] = Sent(self.now + SUSPECT * usual, usual, time_out, flight.kind)
         if flight.bound is None:
             flight.bound, flight.bound_attempt, flight.bound_ms = where, flight.sends, self.now
         flight.tried.append(where.server)
@@ -345,6 +357,12 @@
             return
         if code == "ok":
             self.answers.add(self.now)
+            if spent <= WELL * self.usual.get(sent.kind.name, sent.kind.aim_ms / 4):
+                server.proven = server.proven * math.exp((server.proven_ms - self.now) / PROVEN_MS) + 1.0
+                server.proven_ms = self.now
+            oldest = next(iter(server.open.values()), None)
+            many = len(server.open) >= QUIET_OPEN
+            server.quiet_ms = self.now + QUIET * oldest.usual if oldest and many else math.inf
             usual = self.usual.get(sent.kind.name, spent)
             self.usual[sent.kind.name] = usual + 0.05 * (spent - usual)
             while self.peaks and self.peaks[-1][1] <= spent:
@@ -399,6 +417,8 @@
         work = self.usual.get(kind.name, kind.aim_ms / 4)
         worth = kind.worth * factor / (1.0 if self.settings.worth_by_work else work)
         self.offers.append((worth, work))
+        if self.shed > 0 and self.now - self.shed_ms > UNHEARD_MS:
+            self._pace(False)
         if self.shed <= 0 and self.rng.random() < 0.9:
             return True
         total = sum(x for _, x in self.offers)
@@ -416,7 +436,9 @@
         return min(1.0, self.quota.get(tenant, 0.0) / max(rate, 1e-9)) if self.quota else 1.0
 
     def _pace(self, late: bool) -> None:
-        self.late += 0.05 * (late - self.late)
+        since = self.now - self.shed_ms
+        weight = LATE_WEIGHT if late else max(LATE_WEIGHT, 1.0 - math.exp(-since / LATE_MS))
+        self.late += weight * (late - self.late)
         span, self.shed_ms = min(1_000.0, self.now - self.shed_ms), self.now
         change = SHED_GAIN * (self.late - LATE_TARGET * self.marginal) * span / 1000.0
         self.shed = min(0.95, max(0.0, self.shed + change))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from helpers import FREE, ask, entry, finals, outcome, sends, serve, settings, started
+from dataclasses import replace
+
+from helpers import FREE, RULES, ask, entry, finals, outcome, sends, serve, settings, started
 from pytest import approx
 
 from quartzford.decision import interface as io
@@ -228,3 +230,75 @@
         send = sends(ask(balancer, 12_000.0 + n, n, "book"))[0]
         balancer.handle(12_000.5 + n, outcome(send, 0, "full", 0.5, final=True))
     assert sends(ask(balancer, 12_700.0, 700, "book"))
+
+
+def test_one_that_fails_fast_is_ejected_though_most_attempts_are_its_own() -> None:
+    """By attempts the fleet failed as much as it did: what fails in a millisecond is tried the more."""
+    balancer = started(6)
+    bad, ejected = balancer.servers["s0"], 0
+    for step in range(800):
+        for send in sends(ask(balancer, 5.0 * step, step)):
+            code = "error" if send.server == "s0" else "ok"
+            balancer.handle(5.0 * step + 1.0, outcome(send, 0, code, 1.0, True))
+        for _ in range(3):  # three in four attempts are its own
+            balancer.fleet.health(bad, True)
+        ejected += balancer.now < bad.ejected_until
+    assert ejected > 700
+
+
+def test_a_server_that_falls_silent_is_passed_over_before_its_attempts_are_due() -> None:
+    balancer = started(2)
+    for number in range(100):
+        serve(balancer, 50.0 * number, number, latency=40.0)
+    out: dict[str, list[io.Send]] = {"s0": [], "s1": []}
+    now = 5_000.0
+    for number in range(1_000, 1_016):
+        (send,) = sends(ask(balancer, now, number))
+        out[send.server].append(send)
+    silent, other = ("s0", "s1") if len(out["s0"]) >= len(out["s1"]) else ("s1", "s0")
+    balancer.handle(now + 1.0, outcome(out[silent][0], 0, "ok", 1.0))
+    later = now + 3.0 * balancer.usual["read"]  # what is out is due after four
+    for send in out[other]:
+        balancer.handle(later - 1.0, outcome(send, 0, "ok", 40.0))
+    assert {s.server for n in range(2_000, 2_040) for s in sends(ask(balancer, later, n))} == {other}
+    balancer.handle(later + 1.0, outcome(out[silent][1], 0, "ok", 40.0))
+    assert silent in {s.server for n in range(3_000, 3_200) for s in sends(ask(balancer, later + 1.0, n))}
+
+
+def test_what_was_shed_is_let_in_again_though_few_ends_tell_of_it() -> None:
+    """Shed to its bound, a balancer of few requests heard a good end a second, and believed it late."""
+    balancer = started(4)
+    balancer.admission.shed, balancer.admission.late, balancer.admission.shed_ms = 0.95, 0.9, 1_000.0
+    let_in = []
+    for number in range(600):
+        now = 1_000.0 + 50.0 * number
+        found = sends(ask(balancer, now, number))
+        for send in found:
+            balancer.handle(now + 20.0, outcome(send, 0, "ok", 20.0))
+        let_in.append(bool(found))
+    assert sum(let_in[200:]) > 0.9 * 400
+
+
+def from_cold(tip_multiple: float) -> list[int]:
+    """What a cold server is sent in each of 12 s, of 100 requests a second; in the last three it answers late."""
+    rules = replace(RULES, cold_ms=1e6, tip_multiple=tip_multiple)  # by its age alone it stays cold
+    balancer = started(2, rules=rules)
+    for number in range(500):
+        serve(balancer, 10.0 * number, number)
+    balancer.handle(5_000.0, io.ListUpdate("changes", (entry(2, started=4_999.0),)))
+    counts = [0] * 12
+    for step in range(1_200):
+        now = 5_000.0 + 10.0 * step
+        for send in sends(ask(balancer, now, 10_000 + step)):
+            slow = send.server == "s2" and step >= 900
+            balancer.handle(now + 5.0, outcome(send, 0, "ok", 100.0 if slow else 5.0))
+            counts[step // 100] += send.server == "s2"
+    return counts
+
+
+def test_a_cold_server_grows_by_what_it_answers_well_and_no_faster() -> None:
+    """Twice that at the most, from every balancer: together they stay under half of what tips it."""
+    grown, held = from_cold(4.0), from_cold(0.1)
+    assert sum(grown[4:9]) > 1.25 * sum(held[4:9])
+    assert all(b <= 2 * max(a, 8) + 6 for a, b in zip(grown, grown[1:], strict=False)), grown
+    assert grown[11] <= held[8]  # late answers prove nothing
