--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -280,7 +280,7 @@
 
 
 def from_cold(tip_multiple: float) -> list[int]:
-    """What a cold server is sent in each of 12 s, of 100 requests a second; in the last three it answers late."""
+    """What a cold server is sent in each of 12 s, of 100 a second; in the last three it answers late."""
     rules = replace(RULES, cold_ms=1e6, tip_multiple=tip_multiple)  # by its age alone it stays cold
     balancer = started(2, rules=rules)
     for number in range(500):
