--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -32,6 +32,7 @@
     capacity: float = 150.0  # of each, requests a second when warm
     cores: int = 2
     latency_s: float = 0.005
+    slow: int = 0  # so many of them take four times as long
     queue: int = 60
     start_share: float = 0.13
     warm_s: float = 24.0
@@ -56,7 +57,8 @@
     def _make(self, number: int, books: Books) -> Nodo:
         p = self.plan
         return Nodo(
-            f"s{number:04}", books, block=number // 4, capacity=p.capacity, latency_s=p.latency_s,
+            f"s{number:04}", books, block=number // 4, capacity=p.capacity,
+            latency_s=p.latency_s * (4 if number < p.slow else 1),
             queue=p.queue, start_share=p.start_share, warm_s=p.warm_s, cores=p.cores,
             most_connections=p.most_connections, connect_s=p.connect_s, idle_s=p.idle_s,
             rng=random.Random(number),
--- a/standins/nodo.py
+++ b/standins/nodo.py
@@ -5,7 +5,8 @@
 connections, is turned away with 503 and X-Unprocessed: 1. Waiting work whose client has left is dropped,
 running work is not. What a nodo takes counts as run, whether or not its answer arrives. A repeat of a keyed
 request is dropped by the nodos of one block for a while: answered at once, with no second effect. A new
-connection costs a core some work, and the first request on it as much time; an idle one is closed.
+connection costs a core some work, and the first request on it as much time; an idle one is closed. A request
+with X-Answer-Bytes is answered at such a length.
 """
 
 from __future__ import annotations
@@ -177,6 +178,8 @@
         self.books.overlapping += any(one.still_open() for one in earlier)
         earlier.append(connection)
         connection.running = identity
+        length = fields.get("x-answer-bytes", "")
+        connection.pad = int(length) if length.isdecimal() else 0
         if self.mode == "swallow":
             return None
         work = Work(now, identity, connection, self.mode)
@@ -235,6 +238,7 @@
     def __init__(self, nodo: Nodo) -> None:
         self.nodo = nodo
         self.parser: Any = None
+        self.pad = 0  # bytes beyond the id in its answer
         self.running = ""  # a request that this connection's client still waits for
         self.closed = False
         self.first = True  # no request has been answered on it
@@ -312,7 +316,7 @@
         if mode == "garble":
             self.transport.write(b"garbage\r\n\r\n")
             return self.transport.close()
-        self.answer(500 if mode == "error" else 200, identity.encode(), False)
+        self.answer(500 if mode == "error" else 200, identity.encode().ljust(self.pad, b"."), False)
 
     def answer(self, status: int, body: bytes, unprocessed: bool) -> None:
         if self.closed:
