--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -1,8 +1,8 @@
 """Replacements under load, measured: python -m bench.upgrade [--quick] [--json FILE].
 
 A balancer is replaced again and again as the platform does it (a second process beside it, SIGTERM to the
-old one at the new one's yes) between stand-in nodos and an open-loop client with kept connections, long answers
-among the short ones, and nodos out by hand over every other replacement. The client writes its own book: each
+old one at the new one's yes) between stand-in nodos and an open-loop client with kept connections, long
+answers among the short ones, and nodos out by hand over every other replacement. The client writes its own book: each
 connection that was refused, reset, or closed with nothing answered counts, also where asking again would have
 helped. Then: how long P takes to be as good as before, with the state handed over and without; and how long
 the second address takes to answer while the balancer's core is full.
@@ -369,7 +369,8 @@
     print(
         f"upgrade: {'rules kept' if kept else 'A RULE BROKEN'}; lost {got['lost']}, "
         f"at the door {got['door']}, worst {got['worst_ms']:.0f} ms (calm {got['calm_worst_ms']:.0f}); "
-        f"P as good after {good['with']:.2f} s with, {good['without']:.2f} s without; second address p99 {full['p99_ms']:.1f} ms"
+        f"P as good after {good['with']:.2f} s with, {good['without']:.2f} s without; "
+        f"second address p99 {full['p99_ms']:.1f} ms"
     )
     report({"replacements": got, "relearn": learnt, "second_address": full, "kept": kept}, options.json)
     return 0 if kept else 1
