Load reports are read by the settings' names too: they were taken for missing

The protocol says that a report has the fields that the settings name (depth); we looked for the simulator's name (queue) alone, found none, and dropped each report as malformed. Change: fields.read_report takes the settings' name, else the simulator's.

--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -2,10 +2,10 @@
 
 A balancer is replaced again and again as the platform does it (a second process beside it, SIGTERM to the
 old one at the new one's yes) between stand-in nodos and an open-loop client with kept connections, long
-answers among the short ones, and nodos out by hand over every other replacement. The client writes its own book: each
-connection that was refused, reset, or closed with nothing answered counts, also where asking again would have
-helped. Then: how long P takes to be as good as before, with the state handed over and without; and how long
-the second address takes to answer while the balancer's core is full.
+answers among the short ones, and nodos out by hand over every other replacement. The client writes its own
+book: each connection that was refused, reset, or closed with nothing answered counts, also where asking again
+would have helped. Then: how long P takes to be as good as before, with the state handed over and without; and
+how long the second address takes to answer while the balancer's core is full.
 """
 
 from __future__ import annotations
--- a/quartzford/settings/fields.py
+++ b/quartzford/settings/fields.py
@@ -33,11 +33,24 @@
     return value if 0 <= value < 1e12 else 0.0
 
 
+# Some upstreams write a report's fields by the settings' names, some by the simulator's.
+REPORT_ALIASES = {
+    "concurrent": "inflight",
+    "depth": "queue",
+    "load_share": "util",
+    "mean_ms": "latency_ms",
+    "tps": "qps",
+    "err_ps": "eps",
+}
+
+
 def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report's values in the settings' order; empty when it is malformed."""
+    """The load report's values in the settings' order, by either name; empty when it is malformed."""
     try:
         table = json.loads(text)
-        values = tuple(float(table[name]) for name in names)
+        values = tuple(
+            float(table[name] if name in table else table[REPORT_ALIASES.get(name, name)]) for name in names
+        )
     except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
         return ()  # whatever its bytes, a report must never spoil the answer that carries it
     return values if all(0 <= v < math.inf for v in values) else ()
--- a/quartzford/settings/platform.py
+++ b/quartzford/settings/platform.py
@@ -11,15 +11,6 @@
 from quartzford.decision import interface as io
 
 EFFECTS = {"free": "free", "guarded": "keyed", "single_shot": "unsafe"}
-# Load reports on sockets have the simulator's names; the settings have the wire's.
-REPORT_NAMES = {
-    "concurrent": "inflight",
-    "depth": "queue",
-    "load_share": "util",
-    "mean_ms": "latency_ms",
-    "tps": "qps",
-    "err_ps": "eps",
-}
 
 
 class ConfigError(Exception):
@@ -41,7 +32,7 @@
     settings: io.Settings
     idle_ms: float
     connect_ms: float
-    report_names: tuple[str, ...]  # the load report's fields as sockets name them
+    report_names: tuple[str, ...]  # the load report's fields as the settings name them
 
 
 def read_settings(config: dict[str, Any]) -> io.Settings:
@@ -204,5 +195,5 @@
         settings=settings,
         idle_ms=_positive(raw, "limits.connIdleMs"),
         connect_ms=_positive(raw, "limits.connectTimeoutMs"),
-        report_names=tuple(REPORT_NAMES.get(name, name) for name in settings.report_fields),
+        report_names=settings.report_fields,
     )
--- a/tests/test_extproc_desk.py
+++ b/tests/test_extproc_desk.py
@@ -486,8 +486,8 @@
 
 @pytest.mark.parametrize("load", [b"{", b"[]", b'{"queue":-1}', b'{"queue":"x"}', b"[" * 9000, b"\xff"])
 def test_a_load_report_that_cannot_be_read_spoils_nothing(load: bytes) -> None:
-    assert read_result(200, False, "", load, ("queue",)) == Result("ok")
-    assert read_result(200, False, "", b'{"queue":3}', ("queue",)) == Result("ok", (3.0,))
+    assert read_result(200, False, "", load, ("depth",)) == Result("ok")
+    assert read_result(200, False, "", b'{"queue":3}', ("depth",)) == Result("ok", (3.0,))
 
 
 # ---- a decision's end
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -12,8 +12,7 @@
 from peers import Message, Script, World, read_message, reply, request, run, says, silent, until
 
 from quartzford.decision import interface as io
-from quartzford.settings.fields import read_report
-from quartzford.settings.platform import REPORT_NAMES
+from quartzford.settings.fields import REPORT_ALIASES, read_report
 
 LONG = 300_000
 
@@ -176,8 +175,11 @@
         assert "x-backend-load" not in answer.fields
         (outcome,) = (e for e in world.events if isinstance(e, io.Outcome))
         assert outcome.report == (2.0, 0.5)  # the settings say depth, load_share
+    # By the names of the settings too: upstreams that write these were taken for idle, all of them.
+    assert read_report(b'{"load_share":0.5,"depth":4.404}', ("depth", "load_share")) == (4.404, 0.5)
+    assert read_report(b'{"depth":0,"queue":9}', ("depth",)) == (0.0,)
     words = "inflight queue util latency_ms qps eps".split()
-    assert [REPORT_NAMES[w] for w in "concurrent depth load_share mean_ms tps err_ps".split()] == words
+    assert [REPORT_ALIASES[w] for w in "concurrent depth load_share mean_ms tps err_ps".split()] == words
     for text in (
         b"",
         b"{",
@@ -188,7 +190,7 @@
         b'{"queue":null}',
         b"3",
     ):
-        assert read_report(text, ("queue",)) == ()
+        assert read_report(text, ("depth",)) == ()
 
 
 @run
