--- a/quartzford/settings/platform.py
+++ b/quartzford/settings/platform.py
@@ -148,6 +148,9 @@
         settings = read_settings(raw)
         for name in [c.name for c in settings.classes] + [t.name for t in settings.tenants]:
             _want({"name": name}, "name", str)
+        for name in settings.report_fields:
+            if not isinstance(name, str):
+                raise ConfigError(f"settings: report.fields: {name!r} is not a name")
         return settings
     except KeyError as error:
         raise ConfigError(f"settings: {error.args[0]}: missing") from None
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -204,7 +204,7 @@
         pytest.param({"listen": "a:" + "9" * 5000}, "digits", id="port"),
         ({"limits": {"memory_mb": 1e305, "sockets": 10}}, "infinity"),
         pytest.param({"limits": {"memory_mb": 10**400, "sockets": 10}}, "too large", id="memory"),
-        ({"settings": {**World().settings, "report": {"fields": [["x"]]}}}, "unhashable"),
+        ({"settings": {**World().settings, "report": {"fields": [["x"]]}}}, "report.fields"),
         ({"settings": {**World().settings, "customers": [{"name": {}, "quotaPerS": 1}]}}, "name"),
         ({"listen": None}, "listen"),
         ({"listen": "127.0.0.1"}, "listen"),
