--- a/quartzford/decision/admission.py
+++ b/quartzford/decision/admission.py
@@ -14,6 +14,7 @@
 SHED_GAIN = 1.0  # change of the shed share a second, per share of late ends off target
 LATE_WEIGHT, LATE_MS = 0.05, 1_000.0  # of one end in the share of late ones, and the time that it remembers
 UNHEARD_MS = 250.0  # with no end for so long, what was late is forgotten all the same
+ANSWERED = 0.3  # by so much less was shed when a late attempt was sent: its crowd has been answered since
 OFFERS = 100  # requests remembered for the order of worth
 
 
@@ -63,8 +64,10 @@
         rate = self.rates[tenant].read(now)
         return min(1.0, self.quota.get(tenant, 0.0) / max(rate, 1e-9)) if self.quota else 1.0
 
-    def pace(self, now: float, late: bool) -> None:
-        """An attempt came back, in time or late."""
+    def pace(self, now: float, late: bool, shed: float = 1.0) -> None:
+        """An attempt came back, in time or late; shed: the share shed when it was sent."""
+        if late and self.shed - shed > ANSWERED:
+            return  # counted all the same, the ends of one jam would shed all that comes after it
         since = now - self.shed_ms
         # Where little is let in, few ends come: a good one must count for the time that it stands for, or a
         # balancer that has shed nearly all goes on doing so long after its servers have recovered.
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -145,7 +145,7 @@
         again = again and self.retry_budget >= 1.0 and left > (PATIENCE + 1) * usual
         time_out = PATIENCE * usual if again else left  # giving up early with no retry to spend is a loss
         request, where = flight.request.request, server.entry
-        sent = Sent(self.now + SUSPECT * usual, usual, time_out, flight.kind)
+        sent = Sent(self.now + SUSPECT * usual, usual, time_out, flight.kind, self.admission.shed)
         self.fleet.sent(server, (request, flight.sends), sent)
         if flight.bound is None:
             flight.bound, flight.bound_attempt, flight.bound_ms = where, flight.sends, self.now
@@ -224,7 +224,8 @@
             fleet.shut(server, sent.kind.name)
         fleet.health(server, code in ("error", "timeout", "reset", "connect_failed"))
         if code in ("ok", "timeout") or (code == "full" and attempt >= 2):
-            self.admission.pace(self.now, code == "full" or spent > LATE_FROM * sent.kind.aim_ms)
+            late = code == "full" or spent > LATE_FROM * sent.kind.aim_ms
+            self.admission.pace(self.now, late, sent.shed)
         if code != "ok":
             spent = min(2 * self.peaks[0][1] if self.peaks else math.inf, sent.time_out)
         usual = max(self.usual.get(sent.kind.name, sent.kind.aim_ms / 4), 0.1)
--- a/tests/reference_policy.py
+++ b/tests/reference_policy.py
@@ -61,6 +61,7 @@
     usual: float
     time_out: float
     kind: io.ServiceClass
+    shed: float
 
 
 @dataclass(slots=True, eq=False)
@@ -298,7 +299,9 @@
         again = again and self.retry_budget >= 1.0 and left > (PATIENCE + 1) * usual
         time_out = PATIENCE * usual if again else left  # giving up early with no retry to spend is a loss
         request, where = flight.request.request, server.entry
-        server.open[(request, flight.sends)] = Sent(self.now + SUSPECT * usual, usual, time_out, flight.kind)
+        server.open[(request, flight.sends)] = Sent(
+            self.now + SUSPECT * usual, usual, time_out, flight.kind, self.shed
+        )
         if flight.bound is None:
             flight.bound, flight.bound_attempt, flight.bound_ms = where, flight.sends, self.now
         flight.tried.append(where.server)
@@ -374,7 +377,7 @@
             server.shut[sent.kind.name] = self.now + EJECT_MS
         self._health(server, code)
         if code in ("ok", "timeout") or (code == "full" and attempt >= 2):
-            self._pace(code == "full" or spent > LATE_FROM * sent.kind.aim_ms)
+            self._pace(code == "full" or spent > LATE_FROM * sent.kind.aim_ms, sent.shed)
         if code != "ok":
             spent = min(2 * self.peaks[0][1] if self.peaks else math.inf, sent.time_out)
         self._score(server, spent / max(self.usual.get(sent.kind.name, sent.kind.aim_ms / 4), 0.1))
@@ -435,7 +438,9 @@
         rate = self.rates[tenant].read(self.now)
         return min(1.0, self.quota.get(tenant, 0.0) / max(rate, 1e-9)) if self.quota else 1.0
 
-    def _pace(self, late: bool) -> None:
+    def _pace(self, late: bool, shed: float = 1.0) -> None:
+        if late and self.shed - shed > 0.3:
+            return
         since = self.now - self.shed_ms
         weight = LATE_WEIGHT if late else max(LATE_WEIGHT, 1.0 - math.exp(-since / LATE_MS))
         self.late += weight * (late - self.late)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -302,3 +302,12 @@
     assert sum(grown[4:9]) > 1.25 * sum(held[4:9])
     assert all(b <= 2 * max(a, 8) + 6 for a, b in zip(grown, grown[1:], strict=False)), grown
     assert grown[11] <= held[8]  # late answers prove nothing
+
+
+def test_the_late_ends_of_one_jam_do_not_shed_what_comes_after_it() -> None:
+    """Sent before anything was shed, they came back late for seconds, and drove the share to its bound."""
+    balancer = started(4)
+    out = [send for number in range(300) for send in sends(ask(balancer, float(number), number))]
+    for step, send in enumerate(out):
+        balancer.handle(1_000.0 + 5.0 * step, outcome(send, 0, "ok", 390.0))
+    assert 0.25 < balancer.admission.shed < 0.5
