Replacement: a second successor, a reload meanwhile and a taken-back listener, mended

A successor that took the place of one that had not served found the old process accepting beside it: what takes connections back ran a turn later than what stops them (a test showed it). A successor with another discovery asked it for changes since the old one's number. After a loss during the end, the process could end before connections that were still coming. That two processes share the bounds is derived from their channels now. Attempts told to callers of the external processor are counted, silent servers count as excluded, an address for operators that is taken is named by its key, a caller that has said nothing makes room before one that has. Tests: the three above, a successor during a drain, an old process killed after the change, one that dies half way through the handing over.

--- a/quartzford/backends/caller.py
+++ b/quartzford/backends/caller.py
@@ -99,6 +99,7 @@
             self.fail("moot")
             return False
         self.state = State.TOLD
+        self.backend.engine.figures.attempts += 1
         self._stop()
         # The caller holds the attempt's own time-out. Here only the client's time ends it, for good: it may
         # still be out at the caller, and a second one beside it would break rule two.
--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -231,8 +231,7 @@
         """Servers of the list that are out by hand, ejected or suspect."""
         out = {name for name in self.by_hand if name in self.servers}
         out |= {s.entry.server for s in self.trouble if s.at >= 0 and self.now < s.ejected_until}
-        due = ((s, next(iter(s.open.values()), None)) for s in self.late)
-        return len(out | {s.entry.server for s, sent in due if sent is not None and sent.due < self.now})
+        return len(out | {s.entry.server for s in (*self.late, *self.mute) if self.suspect(s)})
 
     # ---- attempts
 
@@ -298,6 +297,18 @@
         own = server.failing if server.at >= 0 else 0.0
         return max(0.0, self.failing - own) / max(1, len(self.ready) - 1)
 
+    def _late(self, server: Server) -> bool:
+        """Its oldest attempt is past its due."""
+        oldest = next(iter(server.open.values()), None)
+        return oldest is not None and oldest.due < self.now
+
+    def _mute(self, server: Server) -> bool:
+        """It has answered nothing for long, with several attempts out."""
+        return server.quiet_ms < self.now and len(server.open) >= QUIET_OPEN
+
+    def suspect(self, server: Server) -> bool:
+        return server.at >= 0 and (self._late(server) or self._mute(server))
+
     # ---- the choice
 
     def pick(self, kind: io.ServiceClass, tried: list[str], bound: io.Entry | None) -> Server | None:
@@ -349,10 +360,10 @@
         for server in list(self.mute):
             if server.quiet_ms >= self.now:
                 del self.mute[server]
-            elif server.at >= 0 and len(server.open) >= QUIET_OPEN:
+            elif server.at >= 0 and self._mute(server):
                 found.append(server.at)
         for server in list(self.late):
-            if not server.open or next(iter(server.open.values())).due >= self.now:
+            if not self._late(server):
                 del self.late[server]
             elif server.at >= 0:
                 found.append(server.at)
--- a/quartzford/decision/memory.py
+++ b/quartzford/decision/memory.py
@@ -91,12 +91,11 @@
 
 def _server(fleet: Fleet, server: Server) -> io.ServerMemory:
     shares, at = fleet.shares, server.at
-    first = next(iter(server.open.values()), None)
     return io.ServerMemory(
         server.entry.server, server.entry.started_ms, max(0.0, float(shares.p[at])),
         float(shares.cost[at]) if shares.known else 0.0, float(shares.latency[at]), float(shares.report[at]),
         min(1.0, max(0.0, server.failing)), server.ejections, max(0.0, server.ejected_until),
-        first is not None and first.due < fleet.now, server.tokens, max(0.0, server.tokens_ms),
+        fleet.suspect(server), server.tokens, max(0.0, server.tokens_ms),
         server.cold_from,
     )  # fmt: skip
 
--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -104,6 +104,7 @@
         self.most = 16
         self.draining = False  # no connection is kept after its answer
         self.server: asyncio.Server | None = None
+        self.accepting = False
         self.listener: socket.socket | None = None  # stays open while nobody accepts: its queue is kept
         self.heir: Callable[[int], bool] | None = None  # takes the connections that rest
 
@@ -114,16 +115,27 @@
         """shared: a successor may listen there too, while this process ends. listener: one that stands."""
         self.loop = loop
         self.listener = listener or _bind(address, shared)
-        await self.accept()
+        self.accepting = True
+        await self._accept(self.listener)
 
-    async def accept(self) -> None:
-        if self.server is None and self.listener is not None:
-            self.server = await self.loop.create_server(
-                lambda: Client(self), sock=self.listener.dup(), backlog=BACKLOG
-            )
+    def resume(self) -> None:
+        """Take connections again, unless it is told to stop before it has begun."""
+        if not self.accepting and self.listener is not None:
+            self.accepting = True
+            self.loop.create_task(self._accept(self.listener))
+
+    async def _accept(self, listener: socket.socket) -> None:
+        if not self.accepting or self.server is not None:
+            return
+        server = await self.loop.create_server(lambda: Client(self), sock=listener.dup(), backlog=BACKLOG)
+        if self.accepting and self.server is None:
+            self.server = server
+        else:
+            server.close()
 
     def stop_accepting(self) -> socket.socket | None:
         """Connections wait in the listener's queue, for whoever accepts there next."""
+        self.accepting = False
         if self.server is not None:
             self.server.close()
             self.server = None
--- a/quartzford/fronts/operations.py
+++ b/quartzford/fronts/operations.py
@@ -92,7 +92,8 @@
         calls = self.front.calls
         calls[self] = None
         if len(calls) > MOST_OPEN:
-            next(iter(calls)).transport.abort()
+            silent = (c for c in calls if not c.reader.begun and c is not self)
+            next(silent, next(iter(calls))).transport.abort()
         self.timer = self.front.clock.call_later(WHOLE_S, self._late)
 
     def data_received(self, data: bytes) -> None:
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -64,7 +64,6 @@
         self.roster = Roster()
         self.operations = OperationsFront(self, clock)
         self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
-        self.paired = False  # two processes are this balancer at present, and share its bounds
         self.ending = False
         self.busy_before = 0
         self.succession: Succession | None = None
@@ -81,7 +80,8 @@
         self.draining_since = math.inf
         self.finished = loop.create_future()
         self.ready_at = clock.now() + LISTED_S
-        self._memory: io.Memory | None = None
+        self._memory: io.Memory | None = None  # the process before's, until the list is adopted
+        self._version: int | None = None  # of its list, where it may be followed from there
 
     # ---- start and end
 
@@ -90,7 +90,7 @@
         spare = max(16, config.descriptors - BASE_DESCRIPTORS)
         clients = int(CLIENT_SHARE * spare)
         upstream = spare - clients
-        if self.paired:
+        if self.succession is not None and self.succession.paired:  # two processes share the bounds
             self.budget.limit = max(4 * 1024 * 1024, config.memory_bytes // 2 - PAIR_BYTES)
             clients, upstream = max(8, clients - self.busy_before), max(8, upstream // 2)
         else:
@@ -116,11 +116,12 @@
             raise ConfigError(f"known: {error}") from None
         if self.config.admin is not None and self.operations.server is None:
             await self._listen_for_operators(self.config.admin)
-        listener = None
+        listener, inherited = None, False
         if self.succession is not None:
             known, listener = await self._inherit(self.succession, known)
+            inherited = self._memory is not None
         self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
-        self.watch.version = known.version
+        self.watch.version = self._version if inherited else known.version
         if self._memory is not None:
             self.engine.inherit(self._memory)
             self._memory = None
@@ -164,7 +165,8 @@
         if self.front.draining:
             self.front.close_idle()
         limit = self.draining_since + self.engine.longest_ms / 1000.0 + SPARE_END_S
-        if not self.front.clients or self.clock.now() >= limit:
+        quiet = not self.front.clients and not self.front.accepting  # taken back, more may come for a moment
+        if quiet or self.clock.now() >= limit:
             self.watch.stop()
             self.operations.stop()
             if self.succession is not None:
@@ -184,6 +186,9 @@
             try:
                 known = read_listing(state.listing)
                 self._memory, self.busy_before = state.memory, max(0, state.busy)
+                # Another discovery counts its versions anew: changes since ours would leave out what differs.
+                same = state.discovery == list(self.config.discovery)
+                self._version = state.version if same else None
                 names = set(state.memory.by_hand)
                 if state.heard:
                     self.ready_at = self.clock.now()
@@ -193,7 +198,6 @@
             self.engine.feed(io.ByHand(name, True))
         if given is None:
             return known, None
-        self.paired = True
         self._configure(self.config)
         return known, given.listener
 
@@ -204,16 +208,18 @@
         if listener is None:
             return None
         self.front.draining = False  # what rests is handed over, not closed
-        self.paired = True
         self._configure(self.config)
         busy = sum(not client.idle() for client in self.front.clients)
         memory = self.engine.hand_over()
-        return listener, State(FORMAT, self.roster.table(), self.watch.heard, busy, memory)
+        return listener, State(
+            FORMAT, self.roster.table(), self.watch.version, list(self.config.discovery), self.watch.heard,
+            busy, memory,
+        )  # fmt: skip
 
     def take_back(self) -> None:
         self.alone()
         self.engine.take_back()
-        self.loop.create_task(self.front.accept())
+        self.front.resume()
 
     def hand_clients(self, hand: Callable[[int], bool] | None) -> None:
         self.front.heir = hand
@@ -236,7 +242,7 @@
         self._by_hand(name, out)
 
     def alone(self) -> None:
-        self.paired, self.busy_before = False, 0
+        self.busy_before = 0
         self._configure(self.config)
 
     # ---- what the watch tells
@@ -332,6 +338,7 @@
             return await node.start()
         except OSError as error:
             if error.errno != errno.EADDRINUSE or node.clock.now() > give_up:
-                host, port = node.config.listen
-                raise ConfigError(f"listen: {host}:{port}: {error}") from None
+                admin = node.config.admin if node.operations.server is None else None
+                key, (host, port) = ("admin_addr", admin) if admin else ("listen", node.config.listen)
+                raise ConfigError(f"{key}: {host}:{port}: {error}") from None
             await asyncio.sleep(0.05)
--- a/quartzford/protocols/onecall.py
+++ b/quartzford/protocols/onecall.py
@@ -52,6 +52,10 @@
         self._seen = 0
         self._hosts = 0
 
+    @property
+    def begun(self) -> bool:
+        return self._seen > 0
+
     def feed(self, data: bytes) -> None:
         """Take bytes, however they are cut; nothing is read once the call is done."""
         if self.state is State.DONE:
--- a/quartzford/replacement/state.py
+++ b/quartzford/replacement/state.py
@@ -12,7 +12,7 @@
 
 from quartzford.decision import interface as io
 
-FORMAT = 1
+FORMAT = 2
 MOST_BYTES = 48 * 1024  # of one message
 MOST_STATE = 16 * 1024 * 1024
 
@@ -60,10 +60,14 @@
 
 
 class State(msgspec.Struct):
-    """All that the successor is given. listing: in discovery's form; busy: clients with a request open."""
+    """All that the successor is given. listing: in discovery's form; version: from which changes may follow,
+    None if none may; discovery: host and port whose version that is; busy: clients with a request open.
+    """
 
     format: int
     listing: dict[str, Any]
+    version: int | None
+    discovery: list[str | int]
     heard: bool
     busy: int
     memory: io.Memory
--- a/quartzford/replacement/succession.py
+++ b/quartzford/replacement/succession.py
@@ -80,7 +80,7 @@
 
 
 @contextlib.contextmanager
-def _short(path: str) -> Iterator[str]:
+def short(path: str) -> Iterator[str]:
     """A path that fits into a socket's address, however deep its folder lies."""
     folder = os.open(os.path.dirname(path), os.O_PATH | os.O_DIRECTORY)
     try:
@@ -113,8 +113,8 @@
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
             sock.setblocking(False)
-            with _short(self.path + ".sock") as short:
-                sock.connect(short)
+            with short(self.path + ".sock") as address:
+                sock.connect(address)
             if not same_user(sock):
                 raise OSError("it belongs to another user")
         except OSError as error:
@@ -194,8 +194,8 @@
             own = f"{path}.{os.getpid()}"
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(own)
-            with _short(own) as short:
-                sock.bind(short)
+            with short(own) as address:
+                sock.bind(address)
             os.chmod(own, 0o600)
             sock.listen(4)
             os.replace(own, path)
@@ -287,6 +287,11 @@
 
     # ---- both
 
+    @property
+    def paired(self) -> bool:
+        """Two processes are this balancer at present."""
+        return self.before is not None or self.after is not None
+
     def by_hand(self, name: str, out: bool, names: set[str]) -> None:
         """This process was told so by an operator: the other one hears of it, and it goes on file."""
         for channel in (self.before, self.after):
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -18,7 +18,7 @@
 import pytest
 import uvloop
 from helpers import ask, entry, outcome, sends, settings, started
-from peers import Message, World, read_message, reply, request, run, until
+from peers import Message, World, read_message, reply, request, says, until
 from test_process import COMMAND, ROOT, free_port
 
 from quartzford.decision import interface as io
@@ -26,7 +26,7 @@
 from quartzford.engine import LoopClock, StderrLog
 from quartzford.replacement import state as wire
 from quartzford.replacement.phases import TABLE, News, Phase, Phases, Step
-from quartzford.replacement.succession import Succession, place
+from quartzford.replacement.succession import Succession, place, short
 
 # ---- the table
 
@@ -77,7 +77,9 @@
     old, now = learnt(), 2_100.0
     before = {s.entry.server: (s.p, s.cost, s.failing, max(0.0, s.ejected_until)) for s in old.ready}
     budget = old.retry_budget
-    memory = wire.read_state(b"".join(wire.parts(wire.State(1, {}, True, 0, old.hand_over(now))))).memory
+    memory = wire.read_state(
+        b"".join(wire.parts(wire.State(wire.FORMAT, {}, 1, ["a", 1], True, 0, old.hand_over(now))))
+    ).memory
     new = Balancer(settings(), 99)
     new.handle(now, io.ListUpdate("stale", tuple(s.entry for s in old.servers.values())))
     new.inherit(now, memory)
@@ -108,7 +110,8 @@
 
 def _table(**changes: Any) -> dict[str, Any]:
     memory = learnt().hand_over(2_100.0)
-    return msgspec.to_builtins(wire.State(1, {}, True, 0, memory)) | changes
+    state = wire.State(wire.FORMAT, {}, 1, ["a", 1], True, 0, memory)
+    return msgspec.to_builtins(state) | changes
 
 
 def _memory(**changes: Any) -> dict[str, Any]:
@@ -119,7 +122,7 @@
 @pytest.mark.parametrize(
     ("table", "reason"),
     [
-        (lambda: _table(format=2), "format 2"),
+        (lambda: _table(format=99), "format 99"),
         (lambda: {"format": None}, "format None"),
         (lambda: _table(memory=None), "memory"),
         (lambda: _memory(shed=float("nan")), "shed"),
@@ -361,11 +364,8 @@
     """A successor that we play: it has asked and was given the listener."""
     path = place(str(it.folder.resolve()), "n0", ("127.0.0.1", it.port)) + ".sock"
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    os.chdir(it.folder)
-    try:
-        sock.connect(os.path.basename(path))
-    finally:
-        os.chdir(ROOT)
+    with short(path) as address:
+        sock.connect(address)
     sock.setblocking(False)
     sock.send(wire.write(wire.Hello(99, 1)))
     descriptors: list[int] = []
@@ -419,9 +419,13 @@
     uvloop.run(asyncio.wait_for(test(), 60))
 
 
-@run
-async def test_a_predecessor_of_another_version_gives_its_connections_all_the_same() -> None:
+@pytest.mark.parametrize("whole", [True, False], ids=["another version", "killed half way"])
+def test_a_predecessor_of_another_version_or_one_that_dies_half_way(whole: bool) -> None:
     """State of a format that this process does not read: the listener is used, what was learnt is not."""
+    uvloop.run(asyncio.wait_for(_predecessor(whole), 60))
+
+
+async def _predecessor(whole: bool) -> None:
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
     with tempfile.TemporaryDirectory() as folder:
@@ -435,9 +439,88 @@
         )
         sock, _ = await loop.run_in_executor(None, server.accept)
         assert isinstance(wire.read(sock.recv(65_536)), wire.Hello)
-        socket.send_fds(sock, [wire.write(wire.Listener(1))], [listener.fileno()])
+        socket.send_fds(sock, [wire.write(wire.Listener(1 if whole else 3))], [listener.fileno()])
         sock.send(wire.write(wire.Part(0, msgspec.msgpack.encode({"format": 7, "news": [1, 2]}))))
+        if not whole:
+            sock.close()
         given = await asked
+        server.close()
+        if not whole:  # killed in the middle: nothing is taken that is not whole
+            assert given is None
+            return listener.close()
         assert given is not None and given.state is None
         assert given.listener.getsockname() == listener.getsockname()
         given.listener.close()
+
+
+@in_line
+async def test_a_second_successor_takes_the_place_of_one_that_has_not_served(it: Line) -> None:
+    """Taking connections back for the first one's loss must not outlive the second one's coming."""
+    first, descriptors = await offered(it)
+    second, more = await offered(it)
+    asked = asyncio.ensure_future(it.ask())
+    await asyncio.sleep(0.4)
+    assert not asked.done()  # the listener is the second one's
+    second.close()
+    assert (await asked).status == 200
+    first.close()
+    for fd in (*descriptors, *more):
+        os.close(fd)
+
+
+@in_line
+async def test_an_old_process_killed_after_the_change_takes_nothing_along(it: Line) -> None:
+    resting = await it.connect()
+    assert (await resting.ask()).status == 200
+    await it.start()
+    await it.yes()
+    moved = await it.connect()
+    assert (await moved.ask()).status == 200 and (await it.figures())["edge.served.read"] == 1
+    for _ in range(1000):  # the resting one has gone over: the new process answers it
+        assert (await resting.ask()).status == 200
+        if (await it.figures())["edge.served.read"] > 1:
+            break
+    it.processes[0].kill()
+    await it.processes[0].wait()
+    assert (await resting.ask()).status == (await moved.ask()).status == (await it.ask()).status == 200
+
+
+@in_line
+async def test_a_replacement_during_a_drain_sends_nothing_there(it: Line) -> None:
+    await until(lambda: it.world.watches)
+    it.world.current = it.world.list(it.world.host(0, "draining"), it.world.host(1))
+    it.world.news(it.world.host(0, "draining"))
+    await it.replace()
+    came = len(it.world.ups[0].came)
+    for _ in range(30):
+        assert (await it.ask()).status == 200
+    assert len(it.world.ups[0].came) == came
+
+
+@in_line
+async def test_a_replacement_during_a_reload_asks_the_new_discovery_for_the_whole_list(it: Line) -> None:
+    """The old one counts by the old discovery: changes since its number would be of another list."""
+    await until(lambda: it.world.watches)
+    it.world.version = 900
+    it.world.news(it.world.host(0))
+    elsewhere = World(3)
+    for peer in (elsewhere.ups[2], elsewhere.discovery):
+        await peer.start()
+    elsewhere.ups[2].script, elsewhere.version = says(reply(b"new")), 1_000
+    elsewhere.current = elsewhere.list(elsewhere.host(2))
+    it.config = {**it.config, "discovery": f"127.0.0.1:{elsewhere.discovery.port}"}
+    old = it.processes[0]
+    await it.start()  # while the old one still follows the old discovery
+    await it.yes()
+    (it.path / "1.json").write_text(json.dumps(it.config))
+    old.send_signal(signal.SIGHUP)
+    old.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(old.wait(), 20) == 0
+    await until(lambda: elsewhere.watches)
+    assert not any("index=901" in message.line for message in elsewhere.discovery.came)
+    for _ in range(1000):
+        if (await it.ask()).body == b"new":
+            break
+    assert [(await it.ask()).body for _ in range(20)] == [b"new"] * 20
+    for peer in (elsewhere.ups[2], elsewhere.discovery):
+        await peer.stop()
