--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -171,7 +171,7 @@
 async def test_an_upstream_out_by_hand_gets_nothing_and_comes_back() -> None:
     async with Watched(2) as world:
         for up in world.ups:
-            await until(lambda up=up: up.came) if await ask_until(world, up) else None
+            assert await ask_until(world, up)
         assert [await put(world, "enter", "s0"), await put(world, "enter", "s0")] == [200, 200]
         before = len(world.ups[0].came)
         await until(lambda: world.ups[0].left == len(world.ups[0].writers))  # nothing rests there
@@ -223,6 +223,9 @@
         await seen(request("pay", b"p"))  # a reset
         await seen(request(left="0m"))  # out of time
         await seen(request(fields="X-Big: " + "y" * 40_000 + "\r\n"))  # 431, its class was read
+        await seen(request("pay", b"p", "Transfer-Encoding: chunked\r\n"))  # 400: framed in two ways
+        await seen(request("pay", fields="Content-Length: 99999999\r\n"))  # 413
+        await seen(request("pay", b"half")[:-2])  # 408
         gate = asyncio.Event()
 
         async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
@@ -240,7 +243,8 @@
         for how, count in saw.items():
             assert sum(told[f"edge.{how}.{name}"] for name in ("read", "book", "pay")) == count, how
         assert told["edge.attempts"] == len(world.ups[0].came)
-        assert told["edge.rejected.431"] == 1 and told["edge.in_flight"] == 0
+        assert [told[f"edge.rejected.{s}"] for s in (400, 408, 413, 431)] == [1] * 4
+        assert told["edge.in_flight"] == 0
         assert told["edge.upstreams_known"] == 1
 
 
@@ -251,3 +255,28 @@
         with pytest.raises(OSError), socket.socket() as other:
             other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             other.bind(("127.0.0.1", world.port))
+
+
+@run
+async def test_operators_are_answered_while_clients_and_memory_are_at_their_bounds() -> None:
+    async with Watched(1, sockets=128) as world:
+        gate = asyncio.Event()
+
+        async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(reply())
+
+        world.ups[0].script = wait
+        asking = []
+        for _ in range(world.node.front.most + 5):
+            asking.append(asyncio.ensure_future(world.ask(request("pay", b"p"))))
+        await until(lambda: len(world.node.front.clients) >= world.node.front.most)
+        world.node.budget.used += world.node.budget.limit  # all the memory that there is for bodies
+        began = asyncio.get_running_loop().time()
+        assert (await figures(world))["edge.in_flight"] >= 1
+        assert (await call(world, b"GET /status HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200
+        assert await put(world, "enter", "s0") == 200 and await put(world, "exit", "s0") == 200
+        assert asyncio.get_running_loop().time() - began < 5.0  # generous: one second is what callers wait
+        world.node.budget.used -= world.node.budget.limit
+        gate.set()
+        await asyncio.gather(*asking)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -211,6 +211,8 @@
         ({"discovery": "x:99999"}, "discovery"),
         ({"seed": "xyz"}, "seed"),
         ({"limits": {"memory_mb": 128}}, "limits.sockets"),
+        ({"admin_addr": "9100"}, "admin_addr"),
+        ({"admin_addr": "192.0.2.1:9"}, "admin_addr"),  # not of this machine
         ({"limits": {"memory_mb": -1, "sockets": 10}}, "limits.memory_mb"),
         ({"known": []}, "known"),
         ({"known": {"seq": 1, "whole": True, "hosts": [{}]}}, "known"),
