--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -38,7 +38,8 @@
 RATE = 250.0  # requests a second
 LONG_SHARE, LONG_BYTES = 0.03, 300_000
 KEPT = 60  # clients' connections that stand from the start
-NODOS, SLOW = 12, 4
+NODOS, MANY = 12, 42  # of the replacements, and of what is learnt anew; a third is slow
+WATCHED_S, QUARTER_S = 4.0, 0.25
 GRACE_S = 0.25
 
 
@@ -51,6 +52,7 @@
         self.admin = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
+        self.common = folder / "common0"  # what a process and its successor have in common
 
     def start(self, shared: bool = True) -> subprocess.Popen[bytes]:
         """One more process; shared: in the folder that it has in common with the one before."""
@@ -58,9 +60,10 @@
         self.admin = free_port()
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config))
-        common = self.folder / ("common" if shared else f"alone{self.starts}")
-        common.mkdir(exist_ok=True)
-        env = {**os.environ, "EDGE_CONFIG": str(path), "TMPDIR": str(common),
+        if not shared:
+            self.common = self.folder / f"common{self.starts}"
+        self.common.mkdir(exist_ok=True)
+        env = {**os.environ, "EDGE_CONFIG": str(path), "TMPDIR": str(self.common),
                "EDGE_ADMIN_ADDR": f"127.0.0.1:{self.admin}"}  # fmt: skip
         return subprocess.Popen(
             [sys.executable, "-m", "quartzford"], cwd=ROOT, env=env, stderr=subprocess.DEVNULL
@@ -104,9 +107,10 @@
 
 
 @contextmanager
-def stand_in_fleet() -> Iterator[tuple[int, Any]]:
+def stand_in_fleet(nodos: int = NODOS) -> Iterator[tuple[int, Any]]:
     """A fleet of which a third is four times slower: its padrón's port, and the list."""
-    plan = {"nodos": NODOS, "capacity": 400.0, "cores": 4, "latency_s": 0.008, "slow": SLOW, "connect_s": 0.0}
+    plan = {"nodos": nodos, "capacity": 400.0, "cores": 4, "latency_s": 0.008, "slow": nodos // 3,
+            "connect_s": 0.0}  # fmt: skip
     process = subprocess.Popen(
         [sys.executable, "-m", "standins.fleet", json.dumps(plan)], cwd=ROOT, stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
@@ -220,33 +224,42 @@
         self.door.append((intended, how))
 
 
-def replacements(count: int, discovery: int, known: Any, folder: Path) -> dict[str, Any]:
-    """Replace so many times under load; bans over every other one."""
-    line = Line(discovery, known, folder)
+@contextmanager
+def under_load(line: Line, settle_s: float) -> Iterator[Crowd]:
+    """A balancer's first process and its clients, who have asked for so long; both end with the block."""
     line.replace()
     crowd = Crowd(line.port, RATE)
     crowd.start()
-    time.sleep(3.0)
+    try:
+        time.sleep(settle_s)
+        yield crowd
+    finally:
+        crowd.over.set()
+        crowd.join(20)
+        line.stop()
+
+
+def replacements(count: int, discovery: int, known: Any, folder: Path) -> dict[str, Any]:
+    """Replace so many times under load; bans over every other one."""
+    line = Line(discovery, known, folder)
     rows: list[dict[str, float]] = []
     bans: list[tuple[str, float, float]] = []
     since = 0.0
-    calm_from = time.monotonic()
-    time.sleep(2.0)
-    calm_until = time.monotonic()
-    for number in range(count):
-        name = f"s{number % NODOS:04}"
-        if number % 2:
-            assert line.call("PUT", "/maintenance/enter", name) == 200
-            since = time.monotonic()
-        rows.append(line.replace())
-        time.sleep(0.4)
-        if number % 2:
-            bans.append((name, since, time.monotonic()))
-            assert line.call("PUT", "/maintenance/exit", name) == 200
-        time.sleep(0.2)
-    crowd.over.set()
-    crowd.join(20)
-    line.stop()
+    with under_load(line, 3.0) as crowd:
+        calm_from = time.monotonic()
+        time.sleep(2.0)
+        calm_until = time.monotonic()
+        for number in range(count):
+            name = f"s{number % NODOS:04}"
+            if number % 2:
+                assert line.call("PUT", "/maintenance/enter", name) == 200
+                since = time.monotonic()
+            rows.append(line.replace())
+            time.sleep(0.4)
+            if number % 2:
+                bans.append((name, since, time.monotonic()))
+                assert line.call("PUT", "/maintenance/exit", name) == 200
+            time.sleep(0.2)
     book = books(discovery)
     late = [
         (name, at - out) for name, out, until in bans for at, _ in book["arrivals"].get(name, [])
@@ -273,30 +286,35 @@
     }  # fmt: skip
 
 
-def relearn(shared: bool, discovery: int, known: Any, folder: Path) -> dict[str, float]:
-    """Share of requests at the slow third before a replacement, and how long until it is as small again."""
-    line = Line(discovery, known, folder)
-    line.replace()
-    crowd = Crowd(line.port, RATE)
-    crowd.start()
-    time.sleep(5.0)
-    row = line.replace(shared)
-    time.sleep(5.0)
-    crowd.over.set()
-    crowd.join(20)
-    line.stop()
-    slow = [f"s{n:04}" for n in range(SLOW)]
-    took = [(at, name in slow) for name, rows in books(discovery)["arrivals"].items() for at, _ in rows]
+def relearn(pairs: int, discovery: int, known: Any, folder: Path) -> dict[str, Any]:
+    """Replacements with the state handed over and without, in turn under one load.
 
-    def share(since: float, until: float) -> float:
-        found = [s for at, s in took if since <= at < until]
-        return sum(found) / max(1, len(found))
-
-    before = share(row["began"] - 2.0, row["began"])
-    steps = [0.25 * n for n in range(16)]
-    after = [share(row["yes"] + s, row["yes"] + s + 0.5) for s in steps]
-    good = next((s for s, value in zip(steps, after, strict=True) if value <= before + 0.05), 4.0)
-    return {"before": before, "first": after[0], "as_good_after_s": good}
+    before: share of requests at the slow third in the last second; after: by quarters of a second from the
+    yes; as_good_after_s: from when on a second of it is within a tenth of before (None: not while watched).
+    """
+    line = Line(discovery, known, folder)
+    with under_load(line, 5.0):
+        rows: dict[str, list[dict[str, float]]] = {"with": [], "without": []}
+        for _ in range(pairs):
+            for key, shared in (("with", True), ("without", False)):
+                rows[key].append(line.replace(shared))
+                time.sleep(WATCHED_S)
+    slow = {f"s{n:04}" for n in range(MANY // 3)}
+    took = [(at, name in slow) for name, found in books(discovery)["arrivals"].items() for at, _ in found]
+
+    def share(spans: list[tuple[float, float]]) -> float:
+        hits = [s for at, s in took if any(since <= at < until for since, until in spans)]
+        return sum(hits) / max(1, len(hits))
+
+    result: dict[str, Any] = {}
+    for key, made in rows.items():
+        before = share([(r["began"] - 1.0, r["began"]) for r in made])
+        steps = [n * QUARTER_S for n in range(int(WATCHED_S / QUARTER_S))]
+        after = [share([(r["yes"] + s, r["yes"] + s + QUARTER_S) for r in made]) for s in steps]
+        runs = [sum(after[n : n + 4]) / 4 for n in range(len(after) - 3)]
+        good = next((s for s, value in zip(steps, runs, strict=False) if value <= 1.1 * before), None)
+        result[key] = {"before": before, "after": after, "as_good_after_s": good}
+    return result
 
 
 def second_address(seconds: float, discovery: int, known: Any, folder: Path) -> dict[str, float]:
@@ -333,7 +351,7 @@
     count, seconds = (5, 3.0) if options.quick else (50, 10.0)
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        parts = [folder / part for part in ("replace", "with", "without", "full")]
+        parts = [folder / part for part in ("replace", "relearn", "full")]
         for part in parts:
             part.mkdir()
         with stand_in_fleet() as told:
@@ -348,17 +366,14 @@
             f"  {got['bans']} bans, {got['sent_to_banned']} sent there after {GRACE_S:.2f} s; "
             f"cobros twice {got['cobro_twice']}, overlapping attempts {got['overlapping']}"
         )
-        learnt = {}
-        for key, part in (("with", parts[1]), ("without", parts[2])):
-            with stand_in_fleet() as told:
-                learnt[key] = one = relearn(key == "with", *told, part)
-            print(
-                f"{key} the state: {one['before']:.2f} of requests at the slow third before, "
-                f"{one['first']:.2f} in the first half second after, "
-                f"as good after {one['as_good_after_s']:.2f} s"
-            )
+        with stand_in_fleet(MANY) as told:
+            learnt = relearn(1 if options.quick else 6, *told, parts[1])
+        for key, one in learnt.items():
+            quarters = " ".join(f"{value:.2f}" for value in one["after"])
+            print(f"{key} the state, {MANY} nodos: {one['before']:.3f} of requests at the slow third before;")
+            print(f"  by quarters of a second after: {quarters}; as good after {one['as_good_after_s']} s")
         with stand_in_fleet() as told:
-            full = second_address(seconds, *told, parts[3])
+            full = second_address(seconds, *told, parts[2])
         print(
             f"second address at a full core ({full['rate']:.0f}/s served): {full['calls']} calls, p50 "
             f"{full['p50_ms']:.1f}, p99 {full['p99_ms']:.1f}, worst {full['worst_ms']:.1f} ms"
@@ -369,7 +384,7 @@
     print(
         f"upgrade: {'rules kept' if kept else 'A RULE BROKEN'}; lost {got['lost']}, "
         f"at the door {got['door']}, worst {got['worst_ms']:.0f} ms (calm {got['calm_worst_ms']:.0f}); "
-        f"P as good after {good['with']:.2f} s with, {good['without']:.2f} s without; "
+        f"P as good after {good['with']} s with, {good['without']} s without; "
         f"second address p99 {full['p99_ms']:.1f} ms"
     )
     report({"replacements": got, "relearn": learnt, "second_address": full, "kept": kept}, options.json)
