--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -41,10 +41,8 @@
     if span:
         from quartzford.counting import Counting, span_of  # for experiments alone
 
-        every_s = span_of(span)
+        Counting(node, span_of(span))
     await start_listening(node)
-    if span:
-        Counting(node, every_s)
     await node.finished
 
 
--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -348,6 +348,7 @@
 
     __slots__ = (
         "pool", "upstream", "finish_by", "timer", "connecting", "connection", "chunks", "size", "moved",
+        "written",
     )  # fmt: skip
     call: HttpCall
 
@@ -365,6 +366,7 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.moved = sent
+        self.written = math.nan  # when its first byte was
 
     def start(self) -> None:
         self._arm()
@@ -409,7 +411,7 @@
         self._write(connection)
 
     def _write(self, connection: Connection) -> None:
-        self.connection = connection
+        self.connection, self.written = connection, self.pool.now()
         left = min(self.due, self.call.deadline) - self.pool.now()
         connection.begin(self, self.call.upstream_head(left), self.call.body)
 
--- a/quartzford/counting.py
+++ b/quartzford/counting.py
@@ -2,12 +2,14 @@
 
 Off unless QUARTZFORD_COUNTS_S is set to a span in seconds: a line costs some hundred microseconds. Counts are
 of the span, gauges of its end. Times are Unix milliseconds: the lines of many balancers can be put together.
+With QUARTZFORD_WAYS=1 as well, a line for each request that has ended: its id and its attempts.
 """
 
 from __future__ import annotations
 
 import json
 import math
+import os
 import sys
 from collections import Counter
 from typing import TYPE_CHECKING, Any
@@ -16,9 +18,12 @@
 from quartzford.settings.platform import ConfigError
 
 if TYPE_CHECKING:
+    from quartzford.engine.flight import Attempt, Call
+    from quartzford.membership.listing import Listing
     from quartzford.node import Node
 
 VARIABLE = "QUARTZFORD_COUNTS_S"
+WAYS = "QUARTZFORD_WAYS"
 
 
 def span_of(text: str) -> float:
@@ -41,25 +46,60 @@
         self.sends: Counter[str] = Counter()
         self.cold: Counter[str] = Counter()  # sends by upstream, to those that are in slow start
         self.bad: Counter[str] = Counter()  # outcomes but the good ones, by upstream
+        self.ways: dict[int, list[Any]] | None = (
+            {} if os.environ.get(WAYS) == "1" else None
+        )  # attempts, by request
         node.engine.counting = self
+        node.followers.append(self)
         print("settings:", node.config.settings, node.config.descriptors, file=sys.stderr, flush=True)
-        for server in node.engine.balancer.ready:
-            print("entry:", tuple(server.entry), file=sys.stderr)
         node.clock.call_later(every_s, self._tick)
 
-    def sent(self, send: io.Send, number: int) -> None:
-        """An attempt is about to be made; number: 0 for a request's first."""
+    def listed(self, listing: Listing) -> None:
+        """News of the list, before the module hears of them."""
+        held = self.node.engine.balancer.servers
+        rows = [tuple(e) for e in listing.entries if e.server not in held or held[e.server].entry != e]
+        named = {e.server for e in listing.entries} if listing.whole else set(held)
+        news = {
+            "at": self._unix(), "version": listing.version, "whole": listing.whole, "rows": rows,
+            "missing": [name for name in held if name not in named],
+        }  # fmt: skip
+        print("news:", json.dumps(news, separators=(",", ":")), file=sys.stderr, flush=True)
+
+    def sent(self, send: io.Send, call: Call) -> None:
+        """An attempt is about to be made."""
         balancer = self.node.engine.balancer
         server = balancer.servers[send.server]
-        self.sends["first" if number == 0 else "again"] += 1
+        self.sends["first" if call.sends == 0 else "again"] += 1
         if server.entry.zone != balancer.settings.zone:
             self.sends["across"] += 1
         if server in balancer.fleet.cold:
             self.cold[send.server] += 1
 
-    def ended(self, server: str, code: str) -> None:
-        if code not in ("ok", "cancelled", "moot"):
-            self.bad[f"{code} {server}"] += 1
+    def ended(self, attempt: Attempt, code: str) -> None:
+        """code: the outcome, and how far it had come."""
+        if code.split()[0] not in ("ok", "cancelled", "moot"):
+            self.bad[f"{code.split()[0]} {attempt.server}"] += 1
+        if self.ways is not None and not attempt.call.done:
+            written = getattr(attempt, "written", math.nan)  # of backends that write themselves
+            row = [attempt.server, self._unix(attempt.sent), self._unix(written), self._unix(), code]
+            self.ways.setdefault(attempt.call.number, []).append(row)
+
+    def closed(self, call: Call, how: str) -> None:
+        """A request has ended."""
+        if self.ways is None:
+            return
+        out = [[call.attempt.server, self._unix(call.attempt.sent)]] if call.attempt is not None else []
+        way = {
+            "id": call.label, "class": call.kind, "at": self._unix(), "left": self._unix(call.deadline),
+            "how": how, "tries": self.ways.pop(call.number, []) + out,
+        }  # fmt: skip
+        print("way:", json.dumps(way, separators=(",", ":")), file=sys.stderr, flush=True)
+
+    def _unix(self, at: float | None = None) -> float | None:
+        """Unix milliseconds of a moment of the engine's clock; now, if none is given; none for never."""
+        clock = self.node.clock
+        ms = clock.unix_ms() + (0.0 if at is None else (at - clock.now()) * 1000.0)
+        return round(ms, 1) if math.isfinite(ms) else None
 
     def _since(self, name: str, counts: Counter[str]) -> dict[str, int]:
         before, self.before[name] = self.before.get(name, Counter()), counts.copy()
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -29,11 +29,13 @@
 
 
 class Sends(Protocol):
-    """Who counts attempts."""
+    """Who counts attempts, and follows requests."""
 
-    def sent(self, send: io.Send, number: int) -> None: ...
+    def sent(self, send: io.Send, call: Call) -> None: ...
 
-    def ended(self, server: str, code: str) -> None: ...
+    def ended(self, attempt: Attempt, code: str) -> None: ...
+
+    def closed(self, call: Call, how: str) -> None: ...
 
 
 class Engine:
@@ -94,7 +96,7 @@
         call = self.calls.get(number)
         if call is not None:
             attempt = call.attempt
-            self._close(call)
+            self._close(call, "abandoned")
             self.figures.ended["failed"][call.kind] += 1
             self.balancer.flights.pop(call.number, None)
             if attempt is not None:
@@ -129,7 +131,7 @@
         due = min(call.deadline, time_out)
         finish = min(call.deadline, max(due, now + send.finish_ms / 1000.0))
         if self.counting is not None:
-            self.counting.sent(send, call.sends)
+            self.counting.sent(send, call)
         attempt = call.backend.attempt(call, call.sends, send.server, now, due, finish)
         call.sends += 1
         call.attempt = attempt
@@ -139,10 +141,12 @@
         call = self.calls[request]
         self.counts[how] += 1
         self.figures.ended[how][call.kind] += 1
-        self._close(call)
+        self._close(call, how)
         return call
 
-    def _close(self, call: Call) -> None:
+    def _close(self, call: Call, how: str) -> None:
+        if self.counting is not None:
+            self.counting.closed(call, how)
         self.calls.pop(call.number, None)
         call.done = True
         call.attempt = None
@@ -170,7 +174,7 @@
             return
         attempt = call.attempt
         self.counts["client gone"] += 1
-        self._close(call)
+        self._close(call, "client gone")
         call.left()
         self.feed(io.Gone(call.number))
         if attempt is not None:
@@ -200,11 +204,13 @@
         """An attempt has ended. Not owed: the call ends with it, for nobody could send it again."""
         call = attempt.call
         spent = max(0.01, (self.clock.now() - attempt.sent) * 1000.0)
+        if self.counting is not None:
+            self.counting.ended(attempt, f"{code} {stage}".rstrip())
         if call.attempt is attempt:
             call.attempt = None
         final = call.done or code == "ok" or attempt.streaming or not owed
         if final and not call.done:
-            self._close(call)
+            self._close(call, "served" if code == "ok" else "failed")
             self.figures.ended["served" if code == "ok" else "failed"][call.kind] += 1
             if attempt.streaming:
                 call.streamed(code == "ok")
@@ -217,8 +223,6 @@
             call.retried()
         self.counts[f"{code} {stage}".rstrip()] += 1
         name, number = attempt.server, attempt.number
-        if self.counting is not None:
-            self.counting.ended(name, code)
         self.feed(io.Outcome(call.number, number, name, code, spent, final, report, faulted))
 
     # ---- what the list tells
--- a/quartzford/engine/flight.py
+++ b/quartzford/engine/flight.py
@@ -13,12 +13,13 @@
     The engine calls exactly one of served, refused, failed and broken, unless the client has left.
     """
 
-    __slots__ = ("number", "deadline", "attempt", "sends", "done", "backend", "kind")
+    __slots__ = ("number", "deadline", "attempt", "sends", "done", "backend", "kind", "label")
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
         self.number = -1
         self.kind = ""  # the class that the request named
+        self.label = ""  # the id that its client gave it, for logs
         self.deadline = math.inf  # on the engine's clock, seconds
         self.attempt: Attempt | None = None
         self.sends = 0
--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -460,7 +460,7 @@
             left = kind.deadline_ms if kind is not None else engine.longest_ms
         exchange.streams = kind is not None and kind.streaming
         exchange.deadline = self.front.now() + left / 1000.0
-        exchange.number = engine.next_number()
+        exchange.number, exchange.label = engine.next_number(), read.get("id", "")
         request = io.Request(
             exchange.number, name, left, read.get("tenant", ""), read_cookie(read.get("cookie", ""), "sid"),
             read_number(read.get("hint", "")) / 1000.0, read.get("repeat", "").strip() == "1",
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -82,6 +82,9 @@
         self.draining_since = math.inf
         self.finished = loop.create_future()
         self.ready_at = clock.now() + LISTED_S
+        self.told = asyncio.Event()  # the list's first news are adopted, or late
+        self._begun = False
+        self._listener: socket.socket | None = None  # the process before's
         self._memory: io.Memory | None = None  # the process before's, until the list is adopted
         self._version: int | None = None  # of its list, where it may be followed from there
 
@@ -118,23 +121,37 @@
             raise ConfigError(f"known: {error}") from None
         if self.config.admin is not None and self.operations.server is None:
             await self._listen_for_operators(self.config.admin)
-        listener, inherited = None, False
+        if not self._begun:
+            await self._begin(known)
+        if self.ending:
+            return
+        await self.front.listen(self.config.listen, self.loop, self.config.admin is not None, self._listener)
         if self.succession is not None:
-            known, listener = await self._inherit(self.succession, known)
+            self.succession.serves()
+        self.clock.call_later(SUMMARY_S, self._summary)
+        self.engine.start()
+        self.clock.call_later(SWEEP_S, self._sweep)
+
+    async def _begin(self, known: Listing) -> None:
+        """Take over what there is, and hear what the list has to say, before a request can come.
+
+        What the agent holds counts as told from the process's start on, and clients that knew the process
+        before come as soon as the address listens: the list as last had may name servers that drain since.
+        """
+        self._begun = True
+        inherited = False
+        if self.succession is not None:
+            known, self._listener = await self._inherit(self.succession, known)
             inherited = self._memory is not None
         self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
         self.watch.version = self._version if inherited else known.version
         if self._memory is not None:
             self.engine.inherit(self._memory)
             self._memory = None
-        await self.front.listen(self.config.listen, self.loop, self.config.admin is not None, listener)
-        if self.succession is not None:
-            self.succession.serves()
         if not self.watch.asked:
             self.watch.start()
-        self.clock.call_later(SUMMARY_S, self._summary)
-        self.engine.start()
-        self.clock.call_later(SWEEP_S, self._sweep)
+            self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
+            await self.told.wait()
 
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
@@ -265,6 +282,8 @@
         finally:
             if self.news.waiting():
                 self.loop.call_soon(self._take_in)
+            else:
+                self.told.set()
 
     def _adopt(self, listing: Listing, how: str) -> None:
         self.roster.take(listing)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -196,9 +196,16 @@
     async def __aenter__(self) -> World:
         for peer in (*self.ups, self.discovery):
             await peer.start()
+        await self.enter()
+        return self
+
+    listen = ("127.0.0.1", 0)
+
+    async def enter(self, heard: bool = True) -> None:
+        """Start the balancer, its peers being up; heard: and wait until it has heard of the list."""
         known = self.known or self.list(*(self.host(n) for n in range(len(self.ups))))
         config = {
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "name": "n0", "listen": "%s:%d" % self.listen, "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "5", "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "known": known, "settings": self.settings, "admin_addr": self.admin,
         }  # fmt: skip
@@ -215,8 +222,8 @@
         await self.node.start()
         assert self.node.front.server is not None
         self.port = self.node.front.server.sockets[0].getsockname()[1]
-        await until(lambda: self.watches and self.node.watch.heard)
-        return self
+        if heard:
+            await until(lambda: self.watches and self.node.watch.heard)
 
     async def __aexit__(self, *error: object) -> None:
         for writer in self.clients:
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 import uvloop
-from peers import Message, World, reply, request, run, says, until
+from peers import Message, World, reply, request, run, says, silent, until
 
 from quartzford.decision import interface as io
 from quartzford.membership import watch as source
 from quartzford.membership.listing import read_listing
+from quartzford.node import LISTED_S
 
 
 def ready(world: World) -> set[str]:
@@ -96,6 +98,49 @@
         await until(lambda: world.node.watch.version == 5)
 
 
+@run
+async def test_the_list_is_heard_before_a_client_is() -> None:
+    """A client that knew the process before comes as soon as the address listens. What its list said may be
+    long untrue: what the agent holds counts as told from the start, and sends to s0 would break its drain."""
+    world = World(2)
+    for peer in (*world.ups, world.discovery):
+        await peer.start()
+    world.known = world.list(world.host(0), world.host(1))
+    world.version, world.current = 3, world.list(world.host(0, "draining"), world.host(1))
+    hold = asyncio.Event()
+
+    async def late(message: Message, writer: asyncio.StreamWriter) -> None:
+        await hold.wait()
+        await world._discover(message, writer)
+
+    world.discovery.script = late
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        world.listen = free.getsockname()
+    entering = asyncio.ensure_future(world.enter())
+    await until(lambda: world.discovery.came)
+    with pytest.raises(OSError):
+        await asyncio.open_connection(*world.listen)
+    hold.set()
+    await entering
+    for _ in range(20):
+        assert (await world.ask(request())).status == 200
+    assert [len(up.came) for up in world.ups] == [0, 20]
+    await world.__aexit__()
+
+
+@run
+async def test_a_discovery_that_says_nothing_holds_up_the_start_for_a_moment_only() -> None:
+    world = World(2)
+    for peer in (*world.ups, world.discovery):
+        await peer.start()
+    world.discovery.script = silent
+    before = asyncio.get_running_loop().time()
+    await world.enter(heard=False)
+    assert asyncio.get_running_loop().time() - before > LISTED_S - 0.01
+    assert (await world.ask(request())).status == 200
+    await world.__aexit__()
+
+
 @run
 async def test_a_line_without_end_and_an_answer_that_is_no_list() -> None:
     async with World() as world:
