--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -20,7 +20,7 @@
 ZONE_COST = 50.0
 FAIL_WEIGHT = 0.4
 EJECT_ABOVE = 0.35  # failing share that ejects, above what the whole fleet fails
-EJECT_MS = 1_000.0  # first ejection; doubles while the server goes on failing
+EJECT_MS = 1_000.0  # first ejection at the least; doubles while the server goes on failing
 EJECT_MAX_MS = 8_000.0
 EJECT_AT_MOST = 0.67  # of the ready servers, so that ejection never empties the fleet
 RATE_MS = 4_000.0
@@ -175,11 +175,10 @@
             self._leave(server)
         elif server.at < 0:
             self._join(server)
-        else:
-            if entry != held_entry:
-                self.shares.move(server.at, self._place(entry))
-                server.cold_from = max(entry.started_ms, self.back.get(entry.server, 0.0))
-                self.cold[server] = None
+        elif entry != held_entry:
+            self.shares.move(server.at, self._place(entry))
+            server.cold_from = max(entry.started_ms, self.back.get(entry.server, 0.0))
+            self.cold[server] = None
 
     def _join(self, server: Server) -> None:
         server.failing, server.ejections, server.ejected_until = 0.0, 0, -math.inf
@@ -279,18 +278,19 @@
         dead: nobody took the connection in the time that one may take. Load doesn't do that, so what others
         fail is no excuse: the servers of a lost zone would excuse each other.
         """
+        rules, now, excuse = self.settings.rules, self.now, 0.0 if dead else 2 * self._others(server)
         self.blame(server, server.failing + FAIL_WEIGHT * (failed - server.failing))
         if server.failing > EJECT_ABOVE:
             self.trouble[server] = None
         if not failed:
             server.ejections = 0 if server.failing < EJECT_ABOVE else server.ejections
-        elif self.now >= server.ejected_until and server.failing > EJECT_ABOVE + (
-            0.0 if dead else 2 * self._others(server)
-        ):
-            ejected = sum(self.now < s.ejected_until and s.at >= 0 for s in self.trouble)
+        elif now >= server.ejected_until and server.failing > EJECT_ABOVE + excuse:
+            ejected = sum(now < s.ejected_until and s.at >= 0 for s in self.trouble)
             if ejected + 1 <= EJECT_AT_MOST * len(self.ready):
-                span = min(EJECT_MAX_MS, EJECT_MS * 2**server.ejections)
-                server.ejected_until = self.now + span * self.rng.uniform(0.75, 1.25)
+                # One that ends before the next send here would have come spares nothing.
+                visit = min(rules.cold_ms, len(self.ready) / max(1e-9, self.arrivals.read(now)))
+                span = min(max(EJECT_MAX_MS, visit), max(EJECT_MS, visit) * 2**server.ejections)
+                server.ejected_until = now + span * self.rng.uniform(0.75, 1.25)
                 server.ejections += 1
 
     def blame(self, server: Server, failing: float) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -459,3 +459,29 @@
         for send in sends(actions):
             heapq.heappush(ends, (now + (150.0 if n < 100 else 50.0), n, send))
     assert refused < 10, refused
+
+
+def sent_to_hung(per_s: float, servers: int, seed: int) -> tuple[int, int]:
+    """Sends in a minute to the three servers that answer nothing, and all sends; of unsafe requests."""
+    balancer = started(servers, seed)
+    ends: list[tuple[float, int, io.Send]] = []
+    hung, total = 0, 0
+    for number in range(int(60 * per_s)):
+        now = 1_000.0 * number / per_s
+        while ends and ends[0][0] <= now:
+            at, _, send = heapq.heappop(ends)
+            bad = send.server in ("s0", "s1", "s2")
+            spent = send.time_out_ms if bad else 10.0
+            balancer.handle(at, outcome(send, 0, "timeout" if bad else "ok", spent, final=True))
+        for send in sends(ask(balancer, now, number, "pay")):
+            bad = send.server in ("s0", "s1", "s2")
+            heapq.heappush(ends, (now + (send.time_out_ms if bad else 10.0), number, send))
+            hung, total = hung + bad, total + 1
+    return hung, total
+
+
+@pytest.mark.parametrize(("per_s", "servers"), [(8.0, 100), (4.0, 40), (50.0, 100), (8.0, 12)])
+def test_an_ejection_outlasts_the_time_between_two_sends(per_s: float, servers: int) -> None:
+    """At a send in twelve seconds an ejection of one second is over long before it could spare a request."""
+    counts = [sent_to_hung(per_s, servers, seed) for seed in range(8)]
+    assert sum(hung for hung, _ in counts) < 0.5 * 3 / servers * sum(total for _, total in counts)
