--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -485,3 +485,30 @@
     """At a send in twelve seconds an ejection of one second is over long before it could spare a request."""
     counts = [sent_to_hung(per_s, servers, seed) for seed in range(8)]
     assert sum(hung for hung, _ in counts) < 0.5 * 3 / servers * sum(total for _, total in counts)
+
+
+def test_the_ejected_do_not_excuse_what_fails_after_them() -> None:
+    """Thin traffic sees a server once in twelve seconds: what has been ejected is no news of how others fare,
+    and after six of a hundred a first failure ejected no more."""
+    balancer = started(100)
+    ejected = 0
+    for number in range(30):  # each of thirty fails the first attempt that it gets
+        now = 400.0 * number
+        send = sends(ask(balancer, now, number, "pay"))[0]
+        balancer.handle(now + 200.0, outcome(send, 0, "reset", 200.0, final=True))
+        ejected += balancer.servers[send.server].ejected_until > now + 200.0
+        for spare in range(9):
+            serve(balancer, now + 210.0 + 20.0 * spare, 1_000 + 10 * number + spare)
+    assert ejected >= 29
+
+
+def test_failures_all_over_the_fleet_eject_few() -> None:
+    """In an overload every server misses an aim now and then: no server is the worse for it."""
+    balancer, rng = started(20), random.Random(3)
+    for number in range(2_000):
+        now = 20.0 * number
+        for send in sends(ask(balancer, now, number, "pay")):
+            late = rng.random() < 0.3
+            balancer.handle(now + 5.0, outcome(send, 0, "timeout" if late else "ok", 5.0, final=True))
+    out = sum(now < server.ejected_until for server in balancer.ready)
+    assert out <= 10
