--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -299,10 +299,9 @@
         server.failing = failing
 
     def _others(self, server: Server) -> float:
-        """What the others fail, each counted once, but for what is judged: ejected, and not well since."""
-        out = {s for s in self.trouble if s.at >= 0 and s.ejections} | {server}
-        rest = self.failing - sum(s.failing for s in out if s.at >= 0)
-        return max(0.0, rest) / max(1, len(self.ready) - len(out))
+        """What the others fail, each counted once: by attempts, one that fails fast is the yardstick."""
+        own = server.failing if server.at >= 0 else 0.0
+        return max(0.0, self.failing - own) / max(1, len(self.ready) - 1)
 
     def _late(self, server: Server) -> bool:
         """Its oldest attempt is past its due."""
