Start: a listener taken over is served at once, and SIGTERM ends the wait for the list

Node._begin waited for the list also where the process before hands its listener over and had not heard of the list itself: what lies in that listener's queue counts as taken, and would have waited up to a second. And a process told to end during the wait went on waiting. Now there is no wait with a listener that stands, and terminate() ends it.

Tests: a request in the queue is served with the wait set to an hour; a process told to end before it has heard of the list never listens and ends. The test that the list is heard before a client is took a port that was free a moment ago; it looks at the listener now.

--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -150,8 +150,11 @@
             self._memory = None
         if not self.watch.asked:
             self.watch.start()
-            self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
-            await self.told.wait()
+            # Requests in the queue of a listener that stands count as taken: they can't wait, and the process
+            # before served by the same list.
+            if self._listener is None:
+                self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
+                await self.told.wait()
 
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
@@ -164,6 +167,7 @@
         if self.ending:
             return
         self.ending = True
+        self.told.set()
         self.draining_since = self.clock.now()
         if self.succession is None:
             self.drain()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
@@ -199,17 +200,18 @@
         await self.enter()
         return self
 
-    listen = ("127.0.0.1", 0)
+    async def enter(self, heard: bool = True, listener: socket.socket | None = None) -> None:
+        """Start the balancer, its peers being up; heard: and wait until it has heard of the list.
 
-    async def enter(self, heard: bool = True) -> None:
-        """Start the balancer, its peers being up; heard: and wait until it has heard of the list."""
+        listener: that of a process before it."""
         known = self.known or self.list(*(self.host(n) for n in range(len(self.ups))))
         config = {
-            "name": "n0", "listen": "%s:%d" % self.listen, "discovery": f"127.0.0.1:{self.discovery.port}",
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "5", "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "known": known, "settings": self.settings, "admin_addr": self.admin,
         }  # fmt: skip
         self.node = Node(read_config(json.dumps(config)), asyncio.get_running_loop())
+        self.node._listener = listener
         handle = self.node.engine.balancer.handle
 
         def watched(now: float, event: io.Event) -> list[io.Action]:
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -8,12 +8,12 @@
 
 import pytest
 import uvloop
-from peers import Message, World, reply, request, run, says, silent, until
+from peers import Message, World, read_message, reply, request, run, says, silent, until
 
+from quartzford import node
 from quartzford.decision import interface as io
 from quartzford.membership import watch as source
 from quartzford.membership.listing import read_listing
-from quartzford.node import LISTED_S
 
 
 def ready(world: World) -> set[str]:
@@ -114,20 +114,56 @@
         await world._discover(message, writer)
 
     world.discovery.script = late
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        world.listen = free.getsockname()
     entering = asyncio.ensure_future(world.enter())
     await until(lambda: world.discovery.came)
-    with pytest.raises(OSError):
-        await asyncio.open_connection(*world.listen)
+    assert world.node.front.listener is None and not world.node.watch.heard
     hold.set()
     await entering
+    assert world.node.front.listener is not None
     for _ in range(20):
         assert (await world.ask(request())).status == 200
     assert [len(up.came) for up in world.ups] == [0, 20]
     await world.__aexit__()
 
 
+@run
+async def test_told_to_end_before_the_list_is_heard() -> None:
+    """It never listens, and ends without waiting for a list that may not come."""
+    world = World(2)
+    for peer in (*world.ups, world.discovery):
+        await peer.start()
+    world.discovery.script = silent
+    entering = asyncio.ensure_future(world.enter(heard=False))
+    await until(lambda: world.discovery.came)
+    world.node.terminate()
+    with pytest.raises(AssertionError):  # the helper's own: there is no server to ask
+        await entering
+    await asyncio.wait_for(world.node.finished, 8)
+    assert world.node.front.listener is None and not world.node.watch.heard
+    for peer in (*world.ups, world.discovery):
+        await peer.stop()
+
+
+def test_a_listener_that_is_taken_over_is_served_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In its queue lie requests that count as taken: they don't wait for a discovery that says nothing."""
+    monkeypatch.setattr(node, "LISTED_S", 3_600.0)
+
+    async def test() -> None:
+        world = World(1)
+        for peer in (*world.ups, world.discovery):
+            await peer.start()
+        world.discovery.script = silent
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            reader, writer = await asyncio.open_connection(*listener.getsockname())
+            writer.write(request())
+            await world.enter(heard=False, listener=listener)
+            assert (await read_message(reader)).status == 200
+            writer.close()
+            await world.__aexit__()
+
+    uvloop.run(asyncio.wait_for(test(), 30))
+
+
 @run
 async def test_a_discovery_that_says_nothing_holds_up_the_start_for_a_moment_only() -> None:
     world = World(2)
@@ -136,7 +172,7 @@
     world.discovery.script = silent
     before = asyncio.get_running_loop().time()
     await world.enter(heard=False)
-    assert asyncio.get_running_loop().time() - before > LISTED_S - 0.01
+    assert asyncio.get_running_loop().time() - before > node.LISTED_S - 0.01
     assert (await world.ask(request())).status == 200
     await world.__aexit__()
 
