Counts: a request followed by its id over all logs, memory, waits and cold windows

The way was written and nothing read it or tested it, and requests of the external processor had no id in it.

When an attempt was written is the engine's, for every backend. Files are read line by line: 200 logs are no matter.

Ten tests; one asks a balancer over sockets, with an attempt turned away and a client that leaves, and wants every line that it writes.

--- a/quartzford/backends/caller.py
+++ b/quartzford/backends/caller.py
@@ -98,7 +98,7 @@
         if not same or now > self.stands_until or not self.backend.engine.stands(self):
             self.fail("moot")
             return False
-        self.state = State.TOLD
+        self.state, self.written = State.TOLD, now
         self.backend.engine.figures.attempts += 1
         self._stop()
         # The caller holds the attempt's own time-out. Here only the client's time ends it, for good: it may
--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -348,7 +348,6 @@
 
     __slots__ = (
         "pool", "upstream", "finish_by", "timer", "connecting", "connection", "chunks", "size", "moved",
-        "written",
     )  # fmt: skip
     call: HttpCall
 
@@ -366,7 +365,6 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.moved = sent
-        self.written = math.nan  # when its first byte was
 
     def start(self) -> None:
         self._arm()
--- a/quartzford/counting.py
+++ b/quartzford/counting.py
@@ -10,8 +10,10 @@
 import json
 import math
 import os
+import resource
 import sys
 from collections import Counter
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from quartzford.decision import interface as io
@@ -37,6 +39,21 @@
     return span
 
 
+def process() -> Counter[str]:
+    """Processor time in microseconds, and how often the process has waited for something (wake-ups)."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return Counter(cpu_us=round((used.ru_utime + used.ru_stime) * 1e6), waits=used.ru_nvcsw)
+
+
+def resident_kb() -> int:
+    """Resident memory now; 0 where the system doesn't tell."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+    except (OSError, IndexError, ValueError):
+        return 0
+    return pages * resource.getpagesize() // 1024
+
+
 class Counting:
     """Counts of one balancer, written every so many seconds."""
 
@@ -46,9 +63,8 @@
         self.sends: Counter[str] = Counter()
         self.cold: Counter[str] = Counter()  # sends by upstream, to those that are in slow start
         self.bad: Counter[str] = Counter()  # outcomes but the good ones, by upstream
-        self.ways: dict[int, list[Any]] | None = (
-            {} if os.environ.get(WAYS) == "1" else None
-        )  # attempts, by request
+        following = os.environ.get(WAYS) == "1"
+        self.ways: dict[int, list[Any]] | None = {} if following else None  # attempts, by request
         node.engine.counting = self
         node.followers.append(self)
         print("settings:", node.config.settings, node.config.descriptors, file=sys.stderr, flush=True)
@@ -80,9 +96,8 @@
         if code.split()[0] not in ("ok", "cancelled", "moot"):
             self.bad[f"{code.split()[0]} {attempt.server}"] += 1
         if self.ways is not None and not attempt.call.done:
-            written = getattr(attempt, "written", math.nan)  # of backends that write themselves
-            row = [attempt.server, self._unix(attempt.sent), self._unix(written), self._unix(), code]
-            self.ways.setdefault(attempt.call.number, []).append(row)
+            times = (self._unix(attempt.sent), self._unix(attempt.written), self._unix())
+            self.ways.setdefault(attempt.call.number, []).append([attempt.server, *times, code])
 
     def closed(self, call: Call, how: str) -> None:
         """A request has ended."""
@@ -109,8 +124,11 @@
         node, balancer = self.node, self.node.engine.balancer
         fleet, pool = balancer.fleet, node.pool
         shares = [float(p) for p in fleet.shares.p if p > 0]
+        ended = node.engine.figures.ended
+        classes = Counter({f"{how} {name}": n for how, by in ended.items() for name, n in by.items()})
         return {
             "name": node.config.name,
+            "zone": balancer.settings.zone,
             "at": round(node.clock.unix_ms()),
             "list": self._since("list", node.watch.counts),
             "version": node.watch.version,
@@ -120,6 +138,10 @@
             "sends": self._since("sends", self.sends),
             "cold": self._since("cold", self.cold),
             "bad": self._since("bad", self.bad),
+            "classes": self._since("classes", classes),
+            "process": self._since("process", process()),
+            "memory_kb": resident_kb(),
+            "held_at": dict(Counter(connection.upstream.name for connection in pool.connections)),
             "held": len(pool.connections),
             "idle": sum(len(upstream.idle) for upstream in pool.upstreams.values()),
             "ready": len(balancer.ready),
--- a/quartzford/engine/flight.py
+++ b/quartzford/engine/flight.py
@@ -57,16 +57,18 @@
 class Attempt(ABC):
     """One try of one request at one server; it ends with exactly one outcome, told by Engine.ended.
 
-    sent: when the module chose; due: when the attempt is given up; both on the engine's clock, seconds.
+    sent: when the module chose; written: when it left for the server, NaN before; due: when it is given up;
+    all on the engine's clock, seconds.
     """
 
-    __slots__ = ("call", "number", "server", "sent", "due", "streaming", "over")
+    __slots__ = ("call", "number", "server", "sent", "written", "due", "streaming", "over")
 
     def __init__(self, call: Any, number: int, server: str, sent: float, due: float) -> None:
         self.call = call
         self.number = number
         self.server = server
         self.sent = sent
+        self.written = math.nan
         self.due = due
         self.streaming = False  # its answer is being passed on: the attempt belongs to the client now
         self.over = False
--- a/quartzford/fronts/extproc/desk.py
+++ b/quartzford/fronts/extproc/desk.py
@@ -148,7 +148,7 @@
     def __init__(self, desk: Desk, identity: str) -> None:
         super().__init__(desk.backend)
         self.desk = desk
-        self.identity = identity
+        self.identity = self.label = identity
         self.token = ""
         self.owed: Stream | None = None  # has opened or reported, and is owed what becomes of the request
         self.waiting: Stream | None = None  # asks for the next attempt
--- /dev/null
+++ b/tests/test_counting.py
@@ -0,0 +1,116 @@
+"""What a balancer writes for experiments, and what is made of a fleet's lines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from peers import Message, World, reply, request, says, silent, until
+
+from bench import fleetlog
+from quartzford.counting import Counting, span_of
+from quartzford.settings.platform import ConfigError
+
+
+def written(text: str, topic: str) -> list[dict[str, Any]]:
+    return [
+        json.loads(line.partition(": ")[2]) for line in text.splitlines() if line.startswith(topic + ": ")
+    ]
+
+
+def test_a_request_can_be_followed_by_its_id(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Two attempts, the first one turned away: both are in its line, in order, with their times."""
+    monkeypatch.setenv("QUARTZFORD_WAYS", "1")
+
+    async def test() -> None:
+        async with World(2) as world:
+            counting = Counting(world.node, 0.05)
+
+            async def away_once(message: Message, writer: asyncio.StreamWriter) -> None:
+                world.ups[0].script = world.ups[1].script = says(reply())
+                writer.write(reply(b"", "503 Full", "X-Unprocessed: 1\r\n"))
+
+            world.ups[0].script = world.ups[1].script = away_once
+            assert (await world.ask(request())).status == 200
+            await until(lambda: counting.before.get("ends", {}).get("ok"))  # a line, and a connection rests
+            world.ups[0].script = world.ups[1].script = silent
+            reader, writer = await world.connect()
+            writer.write(request("pay", b""))
+            await until(lambda: any(up.came[-1:] and up.came[-1].line.startswith("POST") for up in world.ups))
+            writer.close()
+            await until(lambda: not world.node.engine.calls)
+            world.news(world.host(0, "draining"))
+            await until(lambda: not world.node.pool.upstreams["s0"].ready)
+            said = len(world.node.engine.counts)
+            await until(lambda: len(counting.before["ends"]) == said)
+            assert counting.ways == {}  # nothing is kept of what has ended
+
+    uvloop.run(asyncio.wait_for(test(), 60))
+    text = capsys.readouterr().err
+    served, gone = written(text, "way")
+    assert served["id"] == "c1" and served["how"] == "served" and served["class"] == "read"
+    assert [row[4] for row in served["tries"]] == ["full in its answer", "ok"]
+    times = [at for row in served["tries"] for at in row[1:4]]
+    assert times == sorted(times) and served["at"] >= times[-1] - 0.1 and served["left"] > served["at"]
+    assert gone["how"] == "client gone" and gone["class"] == "pay" and len(gone["tries"][0]) == 2
+    (news,) = written(text, "news")
+    assert [row[:1] + row[4:5] for row in news["rows"]] == [["s0", "draining"]] and not news["whole"]
+    counts = written(text, "counts")
+    assert sum(row["classes"].get("served read", 0) for row in counts) == 1
+    assert all(row["memory_kb"] > 1_000 for row in counts)
+    assert sum(row["process"].get("cpu_us", 0) for row in counts) > 0
+    assert max(sum(row["held_at"].values()) for row in counts) >= 1
+    (tmp_path / "n0.log").write_text(text)
+    told = fleetlog.follow(tmp_path, "c1")
+    assert any("ok after" in line for line in told) and any("s0 is draining" in line for line in told)
+
+
+@pytest.mark.parametrize("text", ["", "x", "0", "0.01", "nan", "3601", "-1"])
+def test_a_span_that_can_t_be_is_refused_by_name(text: str) -> None:
+    with pytest.raises(ConfigError, match="QUARTZFORD_COUNTS_S"):
+        span_of(text)
+
+
+def line(**changes: Any) -> str:
+    row: dict[str, Any] = {
+        "at": 1_000, "zone": "a", "list": {}, "ends": {}, "causes": {}, "sends": {}, "classes": {},
+        "process": {"cpu_us": 10}, "opened": {}, "cold": {}, "held_at": {}, "usual": {"x": 10.0},
+        "memory_kb": 5, **dict.fromkeys((*fleetlog.SUMS, *fleetlog.MEANS), 0.0),
+    }  # fmt: skip
+    return "1.0 counts: " + json.dumps(row | changes) + "\n"
+
+
+def test_two_hundred_logs_add_up_by_the_second_and_by_zone(tmp_path: Path) -> None:
+    for number in range(200):
+        text = line(ends={"ok": 2}, held_at={"s1": 3}, held=3, zone="ab"[number % 2], shed=number / 200)
+        text += line(at=2_000, ends={"ok": 1}) + line(at=2_500)[:60] + "\nnot a line\n"
+        (tmp_path / f"n{number}.log").write_text(text)
+    first, second = fleetlog.merge(fleetlog.read(tmp_path))
+    assert first["balancers"] == second["balancers"] == 200
+    assert first["ends"] == {"ok": 400} and second["ends"] == {"ok": 200}
+    assert first["held"] == 600 and first["held_at_most"] == 600 and first["shed_most"] == 0.995
+    assert fleetlog.merge(fleetlog.read(tmp_path, "b"))[0]["balancers"] == 100
+
+
+def test_what_a_cold_server_is_sent_in_any_window_is_added_over_the_fleet(tmp_path: Path) -> None:
+    """Ten balancers, each two sends while it is cold; those from before its start don't count."""
+    for number in range(10):
+        born = ["s1", "a", "std", 0, "ready", 1.0, 10_000.0]
+        news = {"at": 10_000.0, "rows": [born, ["s2", "a", "std", 0, "ready", 1.0, 0.0]], "missing": []}
+        sends = [11_000.0 + 100.0 * number, 12_450.0 + 1_000.0 * number, 9_000.0]
+        ways = [
+            {"at": at, "id": "c", "tries": [["s1", at, at, at, "ok"], ["s2", at, at, at, "ok"]]}
+            for at in sends
+        ]
+        text = "".join(f"1.0 way: {json.dumps(way)}\n" for way in ways)
+        (tmp_path / f"n{number}.log").write_text(f"1.0 news: {json.dumps(news)}\n{text}")
+    times = sorted([11_000.0 + 100.0 * n for n in range(10)] + [12_450.0 + 1_000.0 * n for n in range(10)])
+    want = max(sum(at <= other < at + 2_000.0 for other in times) for at in times)
+    assert fleetlog.cold(tmp_path, 2.0, 24_000.0) == {"s1": (want, 1_000.0)}
+    assert fleetlog.cold(tmp_path, 2.0, 1_000.0) == {}
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -126,22 +126,26 @@
     await world.__aexit__()
 
 
-@run
-async def test_told_to_end_before_the_list_is_heard() -> None:
+def test_told_to_end_before_the_list_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
     """It never listens, and ends without waiting for a list that may not come."""
-    world = World(2)
-    for peer in (*world.ups, world.discovery):
-        await peer.start()
-    world.discovery.script = silent
-    entering = asyncio.ensure_future(world.enter(heard=False))
-    await until(lambda: world.discovery.came)
-    world.node.terminate()
-    with pytest.raises(AssertionError):  # the helper's own: there is no server to ask
-        await entering
-    await asyncio.wait_for(world.node.finished, 8)
-    assert world.node.front.listener is None and not world.node.watch.heard
-    for peer in (*world.ups, world.discovery):
-        await peer.stop()
+    monkeypatch.setattr(node, "LISTED_S", 3_600.0)
+
+    async def test() -> None:
+        world = World(2)
+        for peer in (*world.ups, world.discovery):
+            await peer.start()
+        world.discovery.script = silent
+        entering = asyncio.ensure_future(world.enter(heard=False))
+        await until(lambda: world.discovery.came)
+        world.node.terminate()
+        with pytest.raises(AssertionError):  # the helper's own: there is no server to ask
+            await entering
+        await world.node.finished
+        assert world.node.front.listener is None and not world.node.watch.heard
+        for peer in (*world.ups, world.discovery):
+            await peer.stop()
+
+    uvloop.run(asyncio.wait_for(test(), 30))
 
 
 def test_a_listener_that_is_taken_over_is_served_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
