Overdue guard: after a long turn the requests' own timers come first

Found by a test of what the issue names and nothing showed: a loop frozen past the time of 24 requests. They were answered 500 by the last resort, which the module never hears of as an end by time:

overdue: request 1 had no answer when its time was up

Cause: Engine._end_overdue ran first among the timers that were due in that turn. A consulta that may be asked again was answered as failed, and the module kept a cancelled attempt in place of a time-out. Now the guard looks again once that turn's timers have run; it is no later for that.

Also tests for what was unproven: a list that empties, names none ready or takes all away; the same address under a new id; discovery that answers 429 and 503; answers broken off at each byte of a cobro and of a reserva; clients that give up early, thirty times; a reload and the end in one turn, in both orders.

--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -236,8 +236,13 @@
         """The last resort: no attempt, timer or exception keeps a request past its time."""
         before = self.clock.now() - OVERDUE_S
         late = [call for call in self.calls.values() if call.deadline < before]
+        if late:
+            # After a long turn their own timers are due in this one too, and end them as the module decides.
+            self.clock.call_soon(self._end_late, late)
+        self.clock.call_later(OVERDUE_S, self._end_overdue)
+
+    def _end_late(self, late: list[Call]) -> None:
         for call in late:
-            if call.attempt is None or not call.attempt.streaming:
+            if not call.done and (call.attempt is None or not call.attempt.streaming):
                 self.log.line("overdue", f"request {call.number} had no answer when its time was up")
                 self._abandon(call.number)
-        self.clock.call_later(OVERDUE_S, self._end_overdue)
--- /dev/null
+++ b/tests/test_broken_surroundings.py
@@ -0,0 +1,184 @@
+"""What goes wrong around a balancer: lists, clocks, signals, peers that break off."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from peers import Message, World, read_message, reply, request, run, says, silent, until
+from test_process import program
+
+from quartzford.decision import interface as io
+
+
+def ready(world: World) -> set[str]:
+    return {name for name, up in world.node.pool.upstreams.items() if up.ready}
+
+
+@pytest.mark.parametrize("how", ["empties", "none ready", "all gone"])
+def test_with_nobody_to_send_to_each_request_is_refused_in_its_time(how: str) -> None:
+    async def test() -> None:
+        async with World(2) as world:
+            if how == "empties":
+                world.news(whole=True)
+            else:
+                health = "draining" if how == "none ready" else "gone"
+                world.news(*(world.host(n, health) for n in range(2)))
+            await until(lambda: not ready(world))
+            began = time.monotonic()
+            asked = [world.ask(request(name, b"", left="300m")) for name in ("read", "book", "pay") * 3]
+            answers = await asyncio.gather(*asked)
+            assert {a.status for a in answers} == {503} and time.monotonic() - began > 0.2
+            assert not world.ups[0].came and not world.ups[1].came and not world.node.engine.calls
+            world.news(world.host(1, born=5.0), whole=True)
+            await until(lambda: ready(world) == {"s1"})
+            assert (await world.ask(request("pay", b""))).status == 200
+
+    uvloop.run(asyncio.wait_for(test(), 60))
+
+
+@run
+async def test_a_new_id_at_the_same_address_is_another_server() -> None:
+    """Nothing learnt of the old one and no connection to it goes on."""
+    async with World(1) as world:
+        world.ups[0].script = says(reply(b"", "500 Bad"))
+        assert (await world.ask(request("pay", b""))).status == 502
+        assert world.node.engine.balancer.servers["s0"].failing > 0
+        world.news(world.host(0, host="s9"), whole=True)
+        await until(lambda: ready(world) == {"s9"})
+        await until(lambda: world.ups[0].left == len(world.ups[0].writers))
+        assert world.node.engine.balancer.servers["s9"].failing == 0.0
+        world.ups[0].script = says(reply())
+        assert (await world.ask(request("pay", b""))).status == 200
+        assert len(world.ups[0].writers) == 2
+
+
+@pytest.mark.parametrize("status", ["429 Too Many Requests", "503 Service Unavailable"])
+def test_a_discovery_that_turns_calls_away_keeps_the_list_and_is_asked_less_and_less(status: str) -> None:
+    async def test() -> None:
+        async with World(2) as world:
+            world.discovery.script = says(reply(b"", status, "Retry-After: 1\r\n"))
+            world.watches[-1].transport.abort()
+            await until(lambda: world.node.watch.counts[f"ended {status[:3]}"] >= 4)
+            # 50 ms, doubling, each with jitter of a half: the fifth call comes no sooner than this.
+            assert world.node.watch.tries >= 4 and ready(world) == {"s0", "s1"}
+            assert (await world.ask(request("pay", b""))).status == 200
+            world.discovery.script = world._discover
+            watches = len(world.watches)
+            await until(lambda: len(world.watches) > watches)
+            await until(lambda: world.node.watch.tries == 0)
+
+    uvloop.run(asyncio.wait_for(test(), 60))
+
+
+WHOLE = reply(b"made once")
+
+
+@pytest.mark.parametrize("name", ["pay", "book"])
+def test_an_answer_that_breaks_off_at_any_byte_has_no_effect_twice(name: str) -> None:
+    """Each request has a body of its own, so that an upstream can tell what came twice, and when."""
+
+    async def test() -> None:
+        async with World(2) as world:
+            open_: set[bytes] = set()
+            came: list[bytes] = []
+
+            def script(size: int) -> Any:
+                async def broken(message: Message, writer: asyncio.StreamWriter) -> None:
+                    assert message.body not in open_, "two attempts at once"
+                    came.append(message.body)
+                    open_.add(message.body)
+                    writer.write(WHOLE[:size])
+                    await writer.drain()
+                    open_.discard(message.body)
+                    if size < len(WHOLE):
+                        writer.transport.abort()
+
+                return broken
+
+            for size in range(len(WHOLE) + 1):
+                world.ups[0].script = world.ups[1].script = script(size)
+                came.clear()
+                body = b"number %d" % size
+                answer = await world.ask(request(name, body, left="1500m"))
+                assert set(came) == {body} and len(came) <= (1 if name == "pay" else 4)
+                if size == len(WHOLE):
+                    assert answer.status == 200 and answer.body == b"made once"
+                else:
+                    assert answer.status == 502, "a refusal would say that it has not run"
+            assert not world.node.engine.calls
+
+    uvloop.run(asyncio.wait_for(test(), 60))
+
+
+@run
+async def test_a_loop_frozen_past_the_time_of_its_requests_ends_each_once_and_sends_nothing_after() -> None:
+    async with World(2) as world:
+        world.ups[0].script = world.ups[1].script = silent
+        clients = [await world.connect() for _ in range(24)]
+        for number, (_, writer) in enumerate(clients):
+            writer.write(request(("read", "book", "pay")[number % 3], b"", left="2000m"))
+        await until(lambda: sum(len(up.came) for up in world.ups) == 24)
+        sent = [len(up.came) for up in world.ups]
+        time.sleep(2.1)  # noqa: ASYNC251 - a long turn: a list taken in, a collection, a stopped machine
+        answers = [await read_message(reader) for reader, _ in clients]
+        assert all(answer.status in (502, 503) for answer in answers)
+        assert all(a.status == 502 for a in answers[2::3]), "a cobro that may have run"
+        assert all(a.status == 503 for a in answers[0::3]), "as the module decides, and not as a last resort"
+        assert not world.node.engine.balancer.flights and world.node.engine.balancer.fleet.shares.out == 0
+        assert not world.node.engine.calls and [len(up.came) for up in world.ups] == sent
+        for up in world.ups:
+            up.script = says(reply())
+        for _, writer in clients:
+            writer.write(request())
+        assert [(await read_message(reader)).status for reader, _ in clients] == [200] * 24  # one answer each
+
+
+@run
+async def test_clients_that_give_up_early_and_come_again_at_once_leave_nothing_behind() -> None:
+    async with World(2) as world:
+        world.ups[0].script = world.ups[1].script = silent
+        for round_ in range(30):
+            _, writer = await world.connect()
+            writer.write(request(("read", "book", "pay")[round_ % 3], b""))
+            await until(lambda: world.node.engine.calls)
+            writer.transport.abort()
+            await until(lambda: not world.node.engine.calls)
+        came = sum(len(up.writers) for up in world.ups)
+        await until(lambda: sum(up.left for up in world.ups) == came)
+        assert not world.node.pool.connections and not world.node.engine.balancer.flights
+        gone = [e for e in world.events if isinstance(e, io.Gone)]
+        assert len(gone) == 30 and not [e for e in world.events if isinstance(e, io.Outcome) and not e.final]
+        assert world.node.engine.balancer.fleet.shares.out == 0
+
+
+@pytest.mark.parametrize("order", [(signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP)])
+def test_a_reload_and_the_end_in_one_turn_lose_nothing(
+    tmp_path: Path, order: tuple[signal.Signals, ...]
+) -> None:
+    async def test() -> None:
+        async with program(tmp_path) as it:
+            gate = asyncio.Event()
+
+            async def wait(message: Message, writer: asyncio.StreamWriter) -> None:
+                await gate.wait()
+                writer.write(reply(b"kept"))
+
+            it.up.script = wait
+            held = asyncio.ensure_future(it.ask(request("pay", b"")))
+            await until(lambda: it.up.came)
+            it.process.send_signal(signal.SIGSTOP)
+            for number in order:
+                it.process.send_signal(number)
+            it.process.send_signal(signal.SIGCONT)
+            gate.set()
+            assert (await held).body == b"kept"
+            assert await asyncio.wait_for(it.process.wait(), 20) == 0
+            assert len(it.up.came) == 1
+
+    uvloop.run(asyncio.wait_for(test(), 60))
