Tests: failures all over a fleet, at three rates, now tell the yardsticks apart

The test that stayed when the yardstick went back to what it was could not tell the two apart: it passed with either.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -487,13 +487,19 @@
     assert sum(hung for hung, _ in counts) < 0.5 * 3 / servers * sum(total for _, total in counts)
 
 
-def test_failures_all_over_the_fleet_eject_few() -> None:
-    """In an overload every server misses an aim now and then: no server is the worse for it."""
-    balancer, rng = started(20), random.Random(3)
-    for number in range(2_000):
-        now = 20.0 * number
-        for send in sends(ask(balancer, now, number, "pay")):
-            late = rng.random() < 0.3
-            balancer.handle(now + 5.0, outcome(send, 0, "timeout" if late else "ok", 5.0, final=True))
-    out = sum(now < server.ejected_until for server in balancer.ready)
-    assert out <= 10
+@pytest.mark.parametrize(("per_s", "servers"), [(50.0, 20), (250.0, 8), (8.0, 100)])
+def test_failures_all_over_the_fleet_eject_few(per_s: float, servers: int) -> None:
+    """In an overload every server misses an aim now and then: none is the worse for it, whatever was ejected
+    before. Without what the ejected failed in the yardstick, 0.42 of eight are out on average, for 0.09."""
+    out = looks = 0
+    for seed in range(3):
+        balancer, rng = started(servers, seed), random.Random(seed)
+        for number in range(int(20 * per_s)):
+            now = 1_000.0 * number / per_s
+            for send in sends(ask(balancer, now, number, "pay")):
+                late = rng.random() < 0.3
+                balancer.handle(now + 5.0, outcome(send, 0, "timeout" if late else "ok", 5.0, final=True))
+            if now > 5_000.0:
+                out += sum(now < server.ejected_until for server in balancer.ready)
+                looks += servers
+    assert out < 0.15 * looks
