bench.decisions: the module of before out of the history, its copy in the tests is gone

Need: tests/reference_policy.py held 489 lines of an old module that served one measurement alone; the issue asks to move or drop it. A copy beside the module invites changes made in both.

--- a/bench/common.py
+++ b/bench/common.py
@@ -82,6 +82,12 @@
         process.join(5)
 
 
+def checkout(revision: str, folder: Path, *paths: str) -> None:
+    """These paths as they were at a revision of this repository, under a folder."""
+    text = subprocess.run(["git", "archive", revision, *paths], cwd=ROOT, check=True, stdout=subprocess.PIPE)
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=text.stdout, check=True)
+
+
 @contextmanager
 def platform_run(checkout: Path, discovery: int, known: Any) -> Iterator[tuple[int, int]]:
     """The platform's run of a checkout, ready: the port for clients, and its process id."""
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -1,6 +1,6 @@
 """What decisions and list changes cost as the fleet grows: python -m bench.decisions [--quick] [--json FILE].
 
-The module as it is against the module as it was (tests/reference_policy.py), in turns within one run, since
+The module as it is against the module as it was before its cost was cut (at OLD), in turns in one run, since
 absolute times are not stable. Only the module's own time is counted. --million shows P's drift over a million
 updates.
 """
@@ -10,20 +10,24 @@
 import argparse
 import asyncio
 import gc
+import importlib.util
 import json
 import multiprocessing as mp
 import random
 import sys
+import tempfile
 import time
 from collections import deque
 from collections.abc import Callable
+from functools import cache
 from multiprocessing.connection import Connection
+from pathlib import Path
 from statistics import median
 from typing import Any
 
 import uvloop
 
-from bench.common import report
+from bench.common import checkout, report
 from quartzford.decision import interface as io
 from quartzford.decision.automaton import load_arrays
 from quartzford.decision.logic import Balancer
@@ -31,8 +35,8 @@
 from quartzford.settings.platform import read_config
 from standins.nodo import Books, Nodo, Registry
 from standins.site import config, free_port
-from tests.reference_policy import Balancer as Old
 
+OLD = "d730356b065e0dd163f43b2aa0f5a266d2c40b2f"
 SIZES = (10, 24, 97, 500, 2_000, 10_000)
 SEED = 5
 STALL_MS = 20.0
@@ -58,6 +62,21 @@
     return io.Entry(f"s{number}", f"z{number % 3}", "std", number // 4, state, 1.0, started)
 
 
+@cache
+def old_module() -> Callable[[io.Settings, int], Any]:
+    """The module's class as it was, in one file that names this interface."""
+    with tempfile.TemporaryDirectory() as folder:
+        checkout(OLD, Path(folder), "tests/reference_policy.py")
+        path = Path(folder) / "tests" / "reference_policy.py"
+        spec = importlib.util.spec_from_file_location("reference_policy", path)
+        assert spec is not None and spec.loader is not None
+        module = importlib.util.module_from_spec(spec)
+        sys.modules[spec.name] = module  # where dataclasses look for its names
+        spec.loader.exec_module(module)
+    make: Callable[[io.Settings, int], Any] = module.Balancer
+    return make
+
+
 class Site:
     """One module with so many servers; out are half as many requests as servers, up to MOST_OUT."""
 
@@ -96,7 +115,7 @@
 
 
 def decisions(servers: int, seconds: float, with_old: bool) -> dict[str, Any]:
-    sites = {"new": Site(Balancer, servers)} | ({"old": Site(Old, servers)} if with_old else {})
+    sites = {"new": Site(Balancer, servers)} | ({"old": Site(old_module(), servers)} if with_old else {})
     row: dict[str, Any] = {"servers": servers}
     costs: dict[str, list[float]] = {name: [] for name in sites}
     changes: dict[str, list[float]] = {name: [] for name in sites}
