--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,67 @@
+"""Many decision modules together on the model of bench.fleetmodel."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.fleetmodel import START, TIP, Plan, World
+
+
+def cold_batch(seed: int) -> World:
+    """Forty modules and six upstreams, of which three are replaced one after the other, from 4 s on."""
+    return World(Plan(40, 6, "join", 11.0, seed)).run()
+
+
+def test_forty_modules_push_no_cold_upstream_over_and_use_what_it_can_do() -> None:
+    multiples, used = [], []
+    for seed in range(40):  # bench.fleet plays two hundred
+        world = cold_batch(seed)
+        fresh = [u for u in world.upstreams if u.born]
+        assert len(fresh) >= 2 and not world.fallen and not world.broken, seed
+        multiples.append(max(u.highest for u in fresh))
+        used.append(
+            sum(u.window for u in fresh) / sum(2e3 * 4 * u.speed * u.warmth(world.now) for u in fresh)
+        )
+    assert max(multiples) <= TIP
+    assert sum(used) / len(used) > 0.4, sum(used) / len(used)  # of what the cold could do in the last 2 s
+    assert 0 < START < min(multiples)
+
+
+@pytest.mark.parametrize("event", ["calm", "bad", "zone", "join", "restart"])
+def test_the_model_keeps_the_rules_and_its_own_books(event: str) -> None:
+    world = World(Plan(6, 12, event, 10.0, 3)).run()
+    found = world.result()
+    assert not found["broken"] and not found["fallen"]
+    assert found["calm"] > 0.95 and 0 < found["worth"] <= 1.0
+    ended = sum(world.outcomes.values())
+    out = sum(len(node.jobs) for node in world.nodes)
+    lost = world.attempts - ended - out  # with the balancers that were killed
+    assert lost == 0 if event != "restart" else 0 <= lost < 60
+    assert all(0 <= u.held <= 180 and u.busy <= 4 for u in world.upstreams)
+
+
+def test_asked_lists_are_spread_and_calls_that_were_turned_away_are_made_again() -> None:
+    world = World(Plan(60, 12, "restart", 16.0, 1, True)).run()
+    assert world.calls >= 60 + 45
+    assert all(len(node.module.servers) == 12 for node in world.nodes)
+
+
+def test_two_hundred_modules_restarted_at_once_push_no_cold_upstream_over() -> None:
+    """Every budget begins anew at a random phase beside upstreams that are cold: the sum over all counts."""
+    for seed in range(2):
+        world = World(Plan(200, 12, "cold restart", 9.0, seed)).run()
+        assert not world.fallen and not world.broken, seed
+        assert 0 < max(u.highest for u in world.upstreams if u.born) <= TIP
+
+
+def test_upstreams_that_answer_nothing_get_less_the_longer_it_lasts() -> None:
+    """One in eight hangs; a balancer meets an upstream once in ten seconds: short ejections spare nothing.
+
+    With ejections of a second the later share of time-outs is 0.9 of the earlier one."""
+    ratio = 0.0
+    for seed in range(2):
+        world = World(Plan(100, 64, "bad", 17.0, seed, rate=0.2)).run()
+        early, late = slice(5, 9), slice(11, 16)
+        before = sum(world.timeouts[early]) / sum(world.sent[early])
+        ratio += sum(world.timeouts[late]) / sum(world.sent[late]) / before
+    assert ratio / 2 < 0.8, ratio / 2
