Memory: what clients make up leaves no entries, a heap's dead entries go before they are due

Need: the issue names tables that grow by names that clients or discovery make up; no test showed it.

Causes: Engine counted ends under the class that the client named; logic._request took that name for the class of the module, so usual, known and shut kept it; the heaps of oldest attempts are cleaned only when a due comes up, and an unknown class's due follows from the deadline that its client made up: with ms it never comes, and a server that is gone stays in memory with it.

Now a class that the settings don't know has no name in the module and none in the figures (their page says OTHER as before), and a heap drops what holds no more once that is half of it. Ruled out: the rates by tenant, the list's rows, the pool and its counts, which stayed within the bound.

--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Any, NamedTuple
@@ -73,10 +74,6 @@
         shares = self.fleet.shares
         return self._figure(shares.cost, 0.0) if shares.known and self.at >= 0 else None
 
-    @property
-    def report(self) -> float:
-        return self._figure(self.fleet.shares.report, 0.0)
-
 
 class Rate:
     """A smoothed rate per millisecond."""
@@ -238,9 +235,9 @@
 
     def sent(self, server: Server, attempt: Attempt, sent: Sent) -> None:
         server.tokens -= 1.0
-        if not server.open:
-            self._head(server, attempt, sent)
         server.open[attempt] = sent
+        if len(server.open) == 1:
+            self._head(server, attempt, sent)
         self.shares.sent(server.at, 1)
 
     def returned(self, server: Server, attempt: Attempt) -> Sent | None:
@@ -259,13 +256,26 @@
         server.quiet_ms = math.inf
         if len(server.open) >= QUIET_OPEN:
             server.quiet_ms = self.now + QUIET * next(iter(server.open.values())).usual
-            heapq.heappush(self.quiet, (server.quiet_ms, next(self.order), server))
+            self._push(self.quiet, (server.quiet_ms, next(self.order), server), self._awaited)
         if well and server in self.cold:
             server.proven = server.proven * math.exp((server.proven_ms - self.now) / PROVEN_MS) + 1.0
             server.proven_ms = self.now
 
     def _head(self, server: Server, attempt: Attempt, sent: Sent) -> None:
-        heapq.heappush(self.heads, (sent.due, next(self.order), server, attempt))
+        self._push(self.heads, (sent.due, next(self.order), server, attempt), self._oldest)
+
+    def _push(self, heap: list[Any], item: Any, holds: Callable[[Any], bool]) -> None:
+        """What holds no more goes when it comes up, or is half of the heap: dues may be made up, and far."""
+        heapq.heappush(heap, item)
+        if len(heap) > 64 + 2 * len(self.servers):
+            heap[:] = filter(holds, heap)
+            heapq.heapify(heap)
+
+    def _oldest(self, head: tuple[float, int, Server, Attempt]) -> bool:
+        return self.servers.get(head[2].entry.server) is head[2] and next(iter(head[2].open), None) == head[3]
+
+    def _awaited(self, item: tuple[float, int, Server]) -> bool:
+        return item[2].quiet_ms == item[0] and self.servers.get(item[2].entry.server) is item[2]
 
     def shut(self, server: Server, name: str) -> None:
         """It turned this class away; it may well serve the others."""
@@ -321,11 +331,9 @@
         """A draw for a request of this class. bound: where it may have run; drains are not in self.ready."""
         if not self.ready:
             return None
-        query = Query(
-            self._barred() if self.cold else (), self._slots_of(tried) if tried else (),
-            self._doubtful(kind), self._group(kind, bound) if bound is not None else None,
-            bound is not None,
-        )  # fmt: skip
+        barred, tried_at = self._barred() if self.cold else (), self._slots_of(tried) if tried else ()
+        group = self._group(kind, bound) if bound is not None else None
+        query = Query(barred, tried_at, self._doubtful(kind), group, bound is not None)
         slot = self.shares.choose(query, self.rng)
         return self.ready[slot] if slot >= 0 else None
 
@@ -344,14 +352,11 @@
     def _doubtful(self, kind: io.ServiceClass) -> list[int]:
         """Slots that are passed over while there are others."""
         while self.heads and self.heads[0][0] < self.now:
-            _, _, server, attempt = heapq.heappop(self.heads)
-            listed = self.servers.get(server.entry.server) is server
-            if listed and next(iter(server.open), None) == attempt:
-                self.late[server] = None
+            if self._oldest(head := heapq.heappop(self.heads)):
+                self.late[head[2]] = None
         while self.quiet and self.quiet[0][0] < self.now:
-            due, _, server = heapq.heappop(self.quiet)
-            if server.quiet_ms == due and self.servers.get(server.entry.server) is server:
-                self.mute[server] = None
+            if self._awaited(item := heapq.heappop(self.quiet)):
+                self.mute[item[2]] = None
         if not self.trouble and not self.late and not self.mute:
             return []
         found = []
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -83,9 +83,6 @@
         """Names of servers that operators have taken out."""
         return self.fleet.by_hand
 
-    def avoided(self) -> int:
-        return self.fleet.avoided()
-
     @property
     def ready(self) -> list[Server]:
         return self.fleet.ready
@@ -259,7 +256,7 @@
         kind = self.classes.get(request.service_class)
         if kind is None:
             budget = max(request.budget_ms, 1.0)
-            kind = io.ServiceClass(request.service_class, budget, budget, worth=0.0)
+            kind = io.ServiceClass("", budget, budget, worth=0.0)  # names that are made up leave no entries
         if kind.effect == "keyed" and not request.keyed:  # with no key its repeats can't be dropped
             kind = replace(kind, effect="unsafe")
         left, aim = request.budget_ms, kind.aim_ms + kind.aim_stretch * request.work_ms
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -56,6 +56,7 @@
     def _adopt(self, settings: io.Settings) -> None:
         self.settings = settings
         self.classes = {c.name: c for c in settings.classes}
+        self.figures.classes = self.classes
         self.longest_ms = max(c.deadline_ms for c in settings.classes)
 
     def reconfigure(self, settings: io.Settings) -> None:
@@ -97,7 +98,7 @@
         if call is not None:
             attempt = call.attempt
             self._close(call, "abandoned")
-            self.figures.ended["failed"][call.kind] += 1
+            self.figures.end("failed", call.kind)
             self.balancer.flights.pop(call.number, None)
             if attempt is not None:
                 attempt.fail("cancelled")
@@ -140,7 +141,7 @@
     def _finish(self, request: int, how: str) -> Call:
         call = self.calls[request]
         self.counts[how] += 1
-        self.figures.ended[how][call.kind] += 1
+        self.figures.end(how, call.kind)
         self._close(call, how)
         return call
 
@@ -211,7 +212,7 @@
         final = call.done or code == "ok" or attempt.streaming or not owed
         if final and not call.done:
             self._close(call, "served" if code == "ok" else "failed")
-            self.figures.ended["served" if code == "ok" else "failed"][call.kind] += 1
+            self.figures.end("served" if code == "ok" else "failed", call.kind)
             if attempt.streaming:
                 call.streamed(code == "ok")
             elif code == "ok":
--- a/quartzford/engine/figures.py
+++ b/quartzford/engine/figures.py
@@ -24,15 +24,20 @@
 
     def __init__(self) -> None:
         self.ended: dict[str, Counter[str]] = {"served": Counter(), "refused": Counter(), "failed": Counter()}
+        self.classes: Collection[str] = ()  # those that the settings know
         self.attempts = 0
         self.rejected: Counter[int] = Counter()
         self.reloads = {"ok": 0, "failed": 0}
 
+    def end(self, how: str, kind: str) -> None:
+        """A request has ended; a class that the settings don't know is counted without its name."""
+        self.ended[how][kind if kind in self.classes else ""] += 1
+
     def turned_away(self, status: int, kind: str) -> None:
         """An answer made before the module; kind: the class, "" where its head could not be read."""
         self.rejected[status] += 1
         if kind:
-            self.ended["refused" if status in (429, 503) else "failed"][kind] += 1
+            self.end("refused" if status in (429, 503) else "failed", kind)
 
     def page(self, prefix: str, classes: Collection[str], gauges: Iterable[tuple[str, int]]) -> str:
         """The figures, one `prefix.name=value` a line; classes: those that the settings know."""
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -323,7 +323,7 @@
         gauges = (
             ("in_flight", len(engine.calls) + self.front.waiting()),
             ("upstreams_known", len(balancer.servers)),
-            ("upstreams_excluded", balancer.avoided()),
+            ("upstreams_excluded", balancer.fleet.avoided()),
         )
         return engine.figures.page(prefix, engine.classes, gauges)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from quartzford.decision import interface as io
+from quartzford.decision.eligibility import Server
 from quartzford.decision.logic import Balancer
 
 FREE = io.ServiceClass("read", 200.0, 800.0, worth=1.0, effect="free")
@@ -57,6 +58,11 @@
     return balancer
 
 
+def reported(server: Server) -> float:
+    """The load that it last told of; 0 if it is not ready."""
+    return float(server.fleet.shares.report[server.at]) if server.at >= 0 else 0.0
+
+
 def sends(actions: list[io.Action]) -> list[io.Send]:
     return [a for a in actions if isinstance(a, io.Send)]
 
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,82 @@
+"""What clients and discovery make up leaves nothing behind: every table stays within a bound."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from collections import Counter, deque
+from collections.abc import Iterator
+from typing import Any
+
+from peers import Message, World, read_message, reply, request, run, until
+
+MOST = 200  # offers that are remembered for the order of worth are a hundred; the rest is by class and server
+
+
+def tables(root: object) -> Iterator[tuple[str, int]]:
+    """Every container that can be reached through this project's objects, with its size."""
+    seen: set[int] = set()
+    todo: list[tuple[str, Any]] = [(type(root).__name__, root)]
+    while todo:
+        path, value = todo.pop()
+        if id(value) in seen or path.count(".") > 12:
+            continue
+        seen.add(id(value))
+        if isinstance(value, dict | list | set | deque | tuple):
+            if not isinstance(value, tuple):
+                yield path, len(value)
+            items = list(value.values()) if isinstance(value, dict) else list(value)
+            todo += [(f"{path}[]", item) for item in items[:50]]
+        elif type(value).__module__.startswith("quartzford"):
+            names = [n for kind in type(value).__mro__ for n in getattr(kind, "__slots__", ())]
+            names += list(getattr(value, "__dict__", ()))
+            todo += [(f"{path}.{name}", getattr(value, name, None)) for name in names]
+
+
+@run
+async def test_made_up_names_ids_and_lives_leave_no_entries_behind() -> None:
+    """Two thousand of each: a soak's worth would only be more of the same."""
+    async with World(2) as world:
+        turned: Counter[str] = Counter()
+
+        async def script(message: Message, writer: asyncio.StreamWriter) -> None:
+            kind = message.fields["x-service-class"]
+            turned[kind] += 1
+            if turned[kind] == 1 and hash(kind) % 3 == 0:
+                writer.write(reply(b"", "503 Full", "X-Unprocessed: 1\r\n"))
+            else:
+                writer.write(reply())
+
+        world.ups[0].script = world.ups[1].script = script
+        world.actions = world.events = deque(maxlen=10)  # type: ignore[assignment]
+
+        async def client(number: int) -> None:
+            reader, writer = await world.connect()
+            for step in range(250):
+                name = f"{number}-{step}"
+                left = b"9999999999m" if step % 5 else b"2500m"
+                made_up = {b"pay": b"class-", b"acme": b"tenant-", b": c1": b": id-"}
+                data = request("pay", b"").replace(b"2500m", left)
+                for word, stem in made_up.items():
+                    data = data.replace(word, stem + name.encode())
+                writer.write(data)
+                await read_message(reader)
+
+        async def discovery() -> None:
+            for life in range(250):
+                lives = [
+                    world.host(n, host=f"s{life}-{n}", site=f"zone{n}", born=life + 1.0) for n in range(2)
+                ]
+                world.news(*lives, whole=True)
+                await until(lambda life=life: f"s{life}-0" in world.node.engine.balancer.servers)  # type: ignore[misc]
+
+        await asyncio.gather(discovery(), *(client(number) for number in range(8)))
+        assert len(turned) > 1_500, "the clients were hardly served"
+        await until(lambda: len(world.node.pool.upstreams) == 2)  # what is gone goes with the next sweep
+        gc.collect()
+        sizes = dict(tables(world.node))
+        assert len(sizes) > 40, "the walk has not reached the parts"
+        for part in (".usual", ".ended", ".heads", ".rows", ".opened", ".shut"):
+            assert any(path.endswith(part) for path in sizes), part
+        over = {path: size for path, size in sizes.items() if size > MOST}
+        assert not over, "\n".join(f"{path} {size}" for path, size in over.items())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 import pytest
-from helpers import FREE, RULES, ask, entry, finals, outcome, sends, serve, settings, started
+from helpers import FREE, RULES, ask, entry, finals, outcome, reported, sends, serve, settings, started
 from pytest import approx
 
 from quartzford.decision import interface as io
@@ -207,10 +207,10 @@
     assert server in balancer.ready and not server.open and sum(s.p for s in balancer.ready) == approx(1.0)
     late = outcome(send, 0, "reset", 2_000.0)._replace(report=(90.0,))
     assert finals(balancer.handle(2_000.0, late)) == [io.Fail(1)]  # the request still gets its answer
-    assert (server.failing, server.report, server.ejections) == (0.0, 0.0, 0)
+    assert (server.failing, reported(server), server.ejections) == (0.0, 0.0, 0)
     now = sends(ask(balancer, 2_010.0, 2))[0]
     balancer.handle(2_020.0, outcome(now, 0, "ok", 10.0)._replace(report=(4.0,)))
-    assert balancer.servers[now.server].report == 4.0
+    assert reported(balancer.servers[now.server]) == 4.0
 
 
 def test_made_up_tenants_leave_no_entries_behind() -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -80,9 +80,9 @@
     balancer.handle(10.0, io.ByHand("s0", True))
     for event in meanwhile:
         balancer.handle(20.0, event)
-    assert "s0" not in picks(balancer, 30.0, range(200)) and balancer.avoided() == 1
+    assert "s0" not in picks(balancer, 30.0, range(200)) and balancer.fleet.avoided() == 1
     balancer.handle(1_000.0, io.ByHand("s0", False))
-    assert balancer.avoided() == 0
+    assert balancer.fleet.avoided() == 0
     back = balancer.servers["s0"]
     assert back.cold_from == 1_000.0 and 0 < picks(balancer, 1_100.0, range(200, 300)).count("s0") <= 1
     balancer.handle(1_200.0, io.ByHand("s0", False))  # a second call back: no second newcomer
--- a/tests/test_sameness.py
+++ b/tests/test_sameness.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import pytest
+from helpers import reported
 from hypothesis import given
 from hypothesis import settings as budget
 from hypothesis import strategies as st
@@ -118,7 +119,7 @@
     play(plan, seed, [old, new], check)
     assert [s.entry for s in old.ready] == [s.entry for s in new.ready]
     for a, b in zip(old.ready, new.ready, strict=True):
-        assert close(a.p, b.p) and close(a.cost, b.cost) and close(a.report, b.report)
+        assert close(a.p, b.p) and close(a.cost, b.cost) and close(reported(a), reported(b))
         assert (a.failing, a.ejections, len(a.open)) == (b.failing, b.ejections, len(b.open))
     for module in (old, new):
         assert module.fleet.shares.out == sum(len(s.open) for s in module.ready)
