--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -29,7 +29,7 @@
 
 from bench.common import checkout, report
 from quartzford.decision import interface as io
-from quartzford.decision.automaton import load_arrays
+from quartzford.decision.columns import load_arrays
 from quartzford.decision.logic import Balancer
 from quartzford.node import Node
 from quartzford.settings.platform import read_config
--- a/quartzford/decision/admission.py
+++ b/quartzford/decision/admission.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 
 from quartzford.decision import interface as io
-from quartzford.decision.eligibility import Rate
+from quartzford.decision.estimates import Rate
 
 LATE_FROM = 0.9  # share of the aim from which an attempt counts as late
 LATE_TARGET = 0.4  # share of late attempts that is borne if what would be refused is worth the average
--- a/quartzford/decision/automaton.py
+++ b/quartzford/decision/automaton.py
@@ -1,19 +1,20 @@
 """The CA-S automaton's arithmetic: P and the smoothed costs of the ready servers, and the draw from P.
 
-No decision is made here. Servers are slots 0..n-1 in the order in which they joined. Two forms hold the same
-figures: plain lists, and arrays (numpy) from ARRAYS_FROM servers on, where a pass over the fleet costs a few
-microseconds instead of a few for each server. Eq. 6 and 8: docs/decisions.md.
+No decision is made here. Two forms hold the same figures (columns.py): lists, and arrays from ARRAYS_FROM
+servers on, where a pass over the fleet costs a few microseconds instead of a few for each server. Eq. 6, 8:
+docs/decisions.md.
 """
 
 from __future__ import annotations
 
-import os
 import random
 from bisect import bisect
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 from itertools import accumulate
 from typing import Any, NamedTuple
 
+from quartzford.decision.columns import COLUMNS, ArrayColumns, Columns, PlainColumns, load_arrays
+
 STEP = 0.5  # a = b of Eq. 8 times the ready servers: an answer moves its server's share by at most about half
 STEP_MAX = 0.078  # a = b at most; the paper's testbed
 SWEEP = 0.1
@@ -53,34 +54,11 @@
     last: bool
 
 
-class Shares:
-    """P, costs and their inputs. Servers join and leave between begin() and commit(); till then slots stay.
-
-    Joins and leaves cost the same however many servers there are: P is held as raw figures times one scale,
-    and what has left is swept out by commit().
-    """
-
-    def __init__(self) -> None:
-        self.p: Any = []  # shares; while members change, times scale
-        self.cost: Any = []  # smoothed costs, in usual latencies
-        self.latency: Any = []  # the last known, in usual latencies
-        self.report: Any = []
-        self.toll: Any = []
-        self.base: Any = []  # the part of Eq. 6's z that reports have no part in
-        self.open: Any = []  # attempts that are out
-        self.zone: Any = []
-        self.cell: Any = []
-        self.n = 0  # slots in use; equal to alive but between begin and commit
-        self.alive = self.out = self.scores = 0
-        self.known = False  # there are costs: all have one, or none has
-        self.dead: list[int] = []
-        self.scale, self.total, self.cost_total = 1.0, 0.0, 0.0
+class Shares(Columns):
+    """P, costs and their inputs. Servers join and leave between begin() and commit()."""
 
     # ---- members
 
-    def begin(self) -> None:
-        self.scale, self.total, self.cost_total = 1.0, self._sum(self.p), self._sum(self.cost)
-
     def join(self, place: Place, open_: int) -> int:
         """A newcomer gets 1/N, taken proportionally, at the mean smoothed cost; its slot."""
         self.alive += 1
@@ -124,28 +102,11 @@
         self.toll[slot], self.zone[slot], self.cell[slot] = place
         self.base[slot] = K * place.toll + (1 - K) * DELTA * self.latency[slot]
 
-    def commit(self) -> int:
-        """Sweep out what has left; the first slot that has moved, or -1."""
-        self._settle(self.n)
-        self._rescale(self.scale)
-        self.scale = 1.0
-        if not self.dead:
-            return -1
-        first = min(self.dead)
-        self._sweep_out()
-        self.n, self.dead = self.alive, []
-        return first
-
     # ---- what is told of a server
 
     def said(self, slot: int, report: float) -> None:
         self.report[slot] = report
 
-    def sent(self, slot: int, by: int) -> None:
-        """So many more attempts are out at it, or fewer."""
-        self.open[slot] += by
-        self.out += by
-
     def score(self, slot: int, latency: float) -> None:
         """Eq. 6 for all; Eq. 8 for the one that answered or failed (none: -1), then its mean over a draw."""
         if slot >= 0:
@@ -196,28 +157,6 @@
             slot = self._draw(set(barred), place, False, rng)
         return slot
 
-    # ---- what the two forms do differently
-
-    def _append(self, row: tuple[float, ...]) -> None:
-        raise NotImplementedError
-
-    def _settle(self, slot: int) -> None:
-        """What was appended can be read by its slot, if this is one of those."""
-        return None
-
-    def _sweep_out(self) -> None:
-        """Drop the slots of the dead."""
-        raise NotImplementedError
-
-    def _sum(self, column: Any) -> float:
-        raise NotImplementedError
-
-    def _level(self) -> None:
-        raise NotImplementedError
-
-    def _rescale(self, by: float) -> None:
-        raise NotImplementedError
-
     def _score(self, slot: int) -> None:
         raise NotImplementedError
 
@@ -228,37 +167,9 @@
         raise NotImplementedError
 
 
-COLUMNS = ("p", "cost", "latency", "report", "toll", "base", "open", "zone", "cell")
-
-
-class PlainShares(Shares):
+class PlainShares(PlainColumns, Shares):
     """In lists."""
 
-    def _columns(self) -> Iterable[list[Any]]:
-        return (getattr(self, name) for name in COLUMNS)
-
-    def _append(self, row: tuple[float, ...]) -> None:
-        for column, value in zip(self._columns(), row, strict=True):
-            column.append(value)
-
-    def _sweep_out(self) -> None:
-        gone = set(self.dead)
-        kept = [slot for slot in range(self.n) if slot not in gone]
-        for column in self._columns():
-            column[:] = [column[slot] for slot in kept]
-
-    def _sum(self, column: Any) -> float:
-        return float(sum(column))
-
-    def _level(self) -> None:
-        gone = set(self.dead)
-        self.p = [0.0 if slot in gone else 1.0 for slot in range(self.n)]
-        self.total = float(self.alive)
-
-    def _rescale(self, by: float) -> None:
-        if by != 1.0:
-            self.p = [p * by for p in self.p]
-
     def _score(self, slot: int) -> None:
         n = self.n
         memory, load = min(0.5, MEMORY / n), sum(self.report) / n
@@ -313,8 +224,8 @@
         return slots[bisect(sums, rng.random() * sums[-1], 0, len(sums) - 1)]
 
 
-class ArrayShares(Shares):
-    """In arrays. What joins waits as rows until it is read or committed: arrays grow by the batch."""
+class ArrayShares(ArrayColumns, Shares):
+    """In arrays."""
 
     def __init__(self, numpy: Any, other: Shares) -> None:
         super().__init__()
@@ -336,32 +247,6 @@
         other.scores = self.scores
         return other
 
-    def _append(self, row: tuple[float, ...]) -> None:
-        self.rows.append(row)
-
-    def _settle(self, slot: int) -> None:
-        if self.rows and slot >= len(self.p):
-            for name, column in zip(COLUMNS, self.np.array(self.rows, dtype=float).T, strict=True):
-                setattr(self, name, self.np.concatenate((getattr(self, name), column)))
-            self.rows = []
-
-    def _sweep_out(self) -> None:
-        for name in COLUMNS:
-            setattr(self, name, self.np.delete(getattr(self, name), self.dead))
-
-    def _sum(self, column: Any) -> float:
-        return float(self.added(column))
-
-    def _level(self) -> None:
-        self._settle(self.n)
-        self.p[:] = 1.0
-        self.p[self.dead] = 0.0
-        self.total = float(self.alive)
-
-    def _rescale(self, by: float) -> None:
-        if by != 1.0:
-            self.p *= by
-
     def _score(self, slot: int) -> None:
         np, n, p, cost = self.np, self.n, self.p, self.cost
         memory, load = min(0.5, MEMORY / n), float(self.added(self.report)) / n
@@ -418,16 +303,6 @@
         return slot if slot < self.n and mask[slot] else int(mask.nonzero()[0][-1])
 
 
-def load_arrays() -> Any:
-    """numpy, or None where it is not installed: lists then serve all sizes. Some 0.1 s and 11 MB, once."""
-    os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")  # its thread pool would be made for nothing
-    try:
-        import numpy
-    except ImportError:
-        return None
-    return numpy
-
-
 def fitting(shares: Shares, coming: int) -> Shares:
     """The form that suits so many servers; the figures are the same."""
     if isinstance(shares, ArrayShares):
--- /dev/null
+++ b/quartzford/decision/columns.py
@@ -0,0 +1,149 @@
+"""The figures of the ready servers, column by column, in lists or in arrays. Nothing is decided here.
+
+A server is a slot 0..n-1, in the order in which the servers joined. Joins and leaves cost the same however
+many there are: while members change, P is held as raw figures times one scale, and what has left is swept out
+by commit(). automaton.py says what the figures are and draws from them.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterable
+from typing import Any
+
+COLUMNS = ("p", "cost", "latency", "report", "toll", "base", "open", "zone", "cell")
+
+
+class Columns:
+    """The columns, and what holds for all of them. Slots stay between begin() and commit()."""
+
+    def __init__(self) -> None:
+        self.p: Any = []  # shares; while members change, times scale
+        self.cost: Any = []  # smoothed costs, in usual latencies
+        self.latency: Any = []  # the last known, in usual latencies
+        self.report: Any = []
+        self.toll: Any = []
+        self.base: Any = []  # the part of Eq. 6's z that reports have no part in
+        self.open: Any = []  # attempts that are out
+        self.zone: Any = []
+        self.cell: Any = []
+        self.n = 0  # slots in use; equal to alive but between begin and commit
+        self.alive = self.out = self.scores = 0
+        self.known = False  # there are costs: all have one, or none has
+        self.dead: list[int] = []
+        self.scale, self.total, self.cost_total = 1.0, 0.0, 0.0
+
+    def begin(self) -> None:
+        self.scale, self.total, self.cost_total = 1.0, self._sum(self.p), self._sum(self.cost)
+
+    def commit(self) -> int:
+        """Sweep out what has left; the first slot that has moved, or -1."""
+        self._settle(self.n)
+        self._rescale(self.scale)
+        self.scale = 1.0
+        if not self.dead:
+            return -1
+        first = min(self.dead)
+        self._sweep_out()
+        self.n, self.dead = self.alive, []
+        return first
+
+    def sent(self, slot: int, by: int) -> None:
+        """So many more attempts are out at it, or fewer."""
+        self.open[slot] += by
+        self.out += by
+
+    # ---- what the two forms do differently
+
+    def _append(self, row: tuple[float, ...]) -> None:
+        raise NotImplementedError
+
+    def _settle(self, slot: int) -> None:
+        """What was appended can be read by its slot, if this is one of those."""
+        return None
+
+    def _sweep_out(self) -> None:
+        """Drop the slots of the dead."""
+        raise NotImplementedError
+
+    def _sum(self, column: Any) -> float:
+        raise NotImplementedError
+
+    def _level(self) -> None:
+        raise NotImplementedError
+
+    def _rescale(self, by: float) -> None:
+        raise NotImplementedError
+
+
+class PlainColumns(Columns):
+    """In lists."""
+
+    def _columns(self) -> Iterable[list[Any]]:
+        return (getattr(self, name) for name in COLUMNS)
+
+    def _append(self, row: tuple[float, ...]) -> None:
+        for column, value in zip(self._columns(), row, strict=True):
+            column.append(value)
+
+    def _sweep_out(self) -> None:
+        gone = set(self.dead)
+        kept = [slot for slot in range(self.n) if slot not in gone]
+        for column in self._columns():
+            column[:] = [column[slot] for slot in kept]
+
+    def _sum(self, column: Any) -> float:
+        return float(sum(column))
+
+    def _level(self) -> None:
+        gone = set(self.dead)
+        self.p = [0.0 if slot in gone else 1.0 for slot in range(self.n)]
+        self.total = float(self.alive)
+
+    def _rescale(self, by: float) -> None:
+        if by != 1.0:
+            self.p = [p * by for p in self.p]
+
+
+class ArrayColumns(Columns):
+    """In arrays (numpy). What joins waits as rows until it is read or committed: arrays grow by the batch."""
+
+    np: Any
+    added: Any  # the bare sum: the method costs twice as much on a hundred figures
+    rows: list[tuple[float, ...]]
+
+    def _append(self, row: tuple[float, ...]) -> None:
+        self.rows.append(row)
+
+    def _settle(self, slot: int) -> None:
+        if self.rows and slot >= len(self.p):
+            for name, column in zip(COLUMNS, self.np.array(self.rows, dtype=float).T, strict=True):
+                setattr(self, name, self.np.concatenate((getattr(self, name), column)))
+            self.rows = []
+
+    def _sweep_out(self) -> None:
+        for name in COLUMNS:
+            setattr(self, name, self.np.delete(getattr(self, name), self.dead))
+
+    def _sum(self, column: Any) -> float:
+        return float(self.added(column))
+
+    def _level(self) -> None:
+        self._settle(self.n)
+        self.p[:] = 1.0
+        self.p[self.dead] = 0.0
+        self.total = float(self.alive)
+
+    def _rescale(self, by: float) -> None:
+        if by != 1.0:
+            self.p *= by
+
+
+def load_arrays() -> Any:
+    """numpy, or None where it is not installed: lists then serve all sizes. Some 0.1 s and 11 MB, once."""
+    os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")  # its thread pool would be made for nothing
+    try:
+        import numpy
+    except ImportError:
+        return None
+    return numpy
--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -6,17 +6,15 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
 from typing import Any, NamedTuple
 
 from quartzford.decision import automaton
 from quartzford.decision import interface as io
 from quartzford.decision.automaton import Place, Query, Shares
+from quartzford.decision.estimates import Due, Rate
 
 ZONE_COST = 50.0
 FAIL_WEIGHT = 0.4
@@ -24,7 +22,6 @@
 EJECT_MS = 1_000.0  # first ejection at the least; doubles while the server goes on failing
 EJECT_MAX_MS = 8_000.0
 EJECT_AT_MOST = 0.67  # of the ready servers, so that ejection never empties the fleet
-RATE_MS = 4_000.0
 PROVEN_MS = 2_000.0  # a cold server's own answers are counted over this
 GROWTH = 2.0  # a cold server may get this multiple of what it answers well; at most half of what tips it
 QUIET, QUIET_OPEN = 2.0, 3  # suspect: nothing answered for so many usual latencies, with so many out
@@ -75,27 +72,6 @@
         return self._figure(shares.cost, 0.0) if shares.known and self.at >= 0 else None
 
 
-class Rate:
-    """A smoothed rate per millisecond."""
-
-    def __init__(self) -> None:
-        self.start = self.last = math.inf
-        self.value = 0.0
-
-    def add(self, now: float) -> None:
-        if self.start > now:
-            self.start = self.last = now
-        self.value = self.value * math.exp((self.last - now) / RATE_MS) + 1.0
-        self.last = now
-
-    def read(self, now: float) -> float:
-        if not self.value:
-            return 0.0
-        seen = max(now - self.start, 0.25 * RATE_MS)
-        value = self.value * math.exp((self.last - now) / RATE_MS)
-        return value / (RATE_MS * (1 - math.exp(-seen / RATE_MS)))
-
-
 class Fleet:
     """The servers of the list, and the choice among those that are ready."""
 
@@ -109,9 +85,8 @@
         self.trouble: dict[Server, None] = {}  # failing, ejected or shut; looked at again before it counts
         self.late: dict[Server, None] = {}  # its oldest attempt is past its due; the same
         self.mute: dict[Server, None] = {}  # has answered nothing for long, with several attempts out
-        self.heads: list[tuple[float, int, Server, Attempt]] = []  # oldest attempts by their due
-        self.quiet: list[tuple[float, int, Server]] = []  # by when an answer is missed
-        self.order = count()
+        self.heads: Due[tuple[Server, Attempt]] = Due(self._oldest)  # oldest attempts by their due
+        self.quiet: Due[tuple[Server, float]] = Due(self._awaited)  # by when an answer is missed
         self.cold: dict[Server, None] = {}
         self.by_hand: set[str] = set()  # out until the operators say otherwise, whatever the list says
         self.aside = False  # a successor has the cold servers' budgets
@@ -256,26 +231,22 @@
         server.quiet_ms = math.inf
         if len(server.open) >= QUIET_OPEN:
             server.quiet_ms = self.now + QUIET * next(iter(server.open.values())).usual
-            self._push(self.quiet, (server.quiet_ms, next(self.order), server), self._awaited)
+            self.quiet.push(server.quiet_ms, (server, server.quiet_ms), 2 * len(self.servers))
         if well and server in self.cold:
             server.proven = server.proven * math.exp((server.proven_ms - self.now) / PROVEN_MS) + 1.0
             server.proven_ms = self.now
 
     def _head(self, server: Server, attempt: Attempt, sent: Sent) -> None:
-        self._push(self.heads, (sent.due, next(self.order), server, attempt), self._oldest)
+        self.heads.push(sent.due, (server, attempt), 2 * len(self.servers))
 
-    def _push(self, heap: list[Any], item: Any, holds: Callable[[Any], bool]) -> None:
-        """What holds no more goes when it comes up, or is half of the heap: dues may be made up, and far."""
-        heapq.heappush(heap, item)
-        if len(heap) > 64 + 2 * len(self.servers):
-            heap[:] = filter(holds, heap)
-            heapq.heapify(heap)
+    def _oldest(self, head: tuple[Server, Attempt]) -> bool:
+        return self._listed(head[0]) and next(iter(head[0].open), None) == head[1]
 
-    def _oldest(self, head: tuple[float, int, Server, Attempt]) -> bool:
-        return self.servers.get(head[2].entry.server) is head[2] and next(iter(head[2].open), None) == head[3]
+    def _awaited(self, item: tuple[Server, float]) -> bool:
+        return item[0].quiet_ms == item[1] and self._listed(item[0])
 
-    def _awaited(self, item: tuple[float, int, Server]) -> bool:
-        return item[2].quiet_ms == item[0] and self.servers.get(item[2].entry.server) is item[2]
+    def _listed(self, server: Server) -> bool:
+        return self.servers.get(server.entry.server) is server
 
     def shut(self, server: Server, name: str) -> None:
         """It turned this class away; it may well serve the others."""
@@ -351,12 +322,8 @@
 
     def _doubtful(self, kind: io.ServiceClass) -> list[int]:
         """Slots that are passed over while there are others."""
-        while self.heads and self.heads[0][0] < self.now:
-            if self._oldest(head := heapq.heappop(self.heads)):
-                self.late[head[2]] = None
-        while self.quiet and self.quiet[0][0] < self.now:
-            if self._awaited(item := heapq.heappop(self.quiet)):
-                self.mute[item[2]] = None
+        self.late.update((server, None) for server, _ in self.heads.passed(self.now))
+        self.mute.update((server, None) for server, _ in self.quiet.passed(self.now))
         if not self.trouble and not self.late and not self.mute:
             return []
         found = []
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -7,14 +7,14 @@
 
 from __future__ import annotations
 
-import math
 import random
-from collections import Counter, deque
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from quartzford.decision import interface as io
 from quartzford.decision.admission import LATE_FROM, Admission
 from quartzford.decision.eligibility import Fleet, Sent, Server
+from quartzford.decision.estimates import Peaks
 from quartzford.decision.memory import recall, remember
 
 LOADS = ("depth", "concurrent", "load_share")
@@ -60,7 +60,7 @@
         self.flights: dict[int, Flight] = {}
         self.usual: dict[str, float] = {}  # smoothed latency of good answers, by class
         self.known: Counter[str] = Counter()  # good answers, by class
-        self.peaks: deque[tuple[float, float]] = deque()
+        self.peaks = Peaks(FAIL_MEMORY_MS)  # of good answers' latencies
         self.retry_budget = 1.0
         self.causes: Counter[str] = Counter()  # why requests were given up here
         self.watch_failures = -1  # -1: the list was never asked for
@@ -224,11 +224,7 @@
             self.known[sent.kind.name] += 1
             weight = max(USUAL_WEIGHT, 1.0 / (PRIOR + self.known[sent.kind.name]))
             self.usual[sent.kind.name] = usual + weight * (spent - usual)
-            while self.peaks and self.peaks[-1][1] <= spent:
-                self.peaks.pop()
-            self.peaks.append((self.now, spent))
-        while self.peaks and self.now - self.peaks[0][0] > FAIL_MEMORY_MS:
-            self.peaks.popleft()
+            self.peaks.add(self.now, spent)
         if code == "full":
             fleet.shut(server, sent.kind.name)
         refused = code == "connect_failed" and spent < sent.time_out - TICK_MS
@@ -237,7 +233,7 @@
             late = code == "full" or spent > LATE_FROM * sent.kind.aim_ms
             self.admission.pace(self.now, late, self._usual(sent.kind.name), sent.kind.aim_ms)
         if code != "ok":
-            spent = min(2 * self.peaks[0][1] if self.peaks else math.inf, sent.time_out)
+            spent = min(2 * self.peaks.most(self.now), sent.time_out)
         usual = self._usual(sent.kind.name)
         fleet.shares.score(server.at, spent / usual)
 
--- a/quartzford/decision/memory.py
+++ b/quartzford/decision/memory.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from typing import Protocol
 
 from quartzford.decision import interface as io
 from quartzford.decision.admission import Admission
-from quartzford.decision.eligibility import EJECT_ABOVE, EJECT_MS, Fleet, Rate, Server
+from quartzford.decision.eligibility import EJECT_ABOVE, EJECT_MS, Fleet, Server
+from quartzford.decision.estimates import Peaks, Rate
 
 
 class Learner(Protocol):
@@ -23,7 +24,7 @@
     classes: dict[str, io.ServiceClass]
     usual: dict[str, float]
     known: Counter[str]
-    peaks: deque[tuple[float, float]]
+    peaks: Peaks
     retry_budget: float
     now: float
 
@@ -40,7 +41,7 @@
         arrivals=_rate(fleet.arrivals),
         answers=_rate(fleet.answers),
         usual=dict(balancer.usual),
-        peaks=tuple(balancer.peaks),
+        peaks=tuple(balancer.peaks.pairs),
         retry_budget=balancer.retry_budget / 2,
         tenants={name: _rate(rate) for name, rate in admission.rates.items()},
         ends=admission.ends,
@@ -79,7 +80,7 @@
     fleet.arrivals, fleet.answers = _read(memory.arrivals, now), _read(memory.answers, now)
     balancer.usual = {name: usual for name, usual in memory.usual.items() if name in balancer.classes}
     balancer.known.update(dict.fromkeys(balancer.usual, 100))  # no longer a guess
-    balancer.peaks.extend(pair for pair in memory.peaks if pair[0] <= now)
+    balancer.peaks.pairs.extend(pair for pair in memory.peaks if pair[0] <= now)
     balancer.retry_budget = min(10.0, memory.retry_budget)
     admission.rates.update(
         {
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from quartzford.decision.automaton import load_arrays
+from quartzford.decision.columns import load_arrays
 from quartzford.membership.subset import Subset
 from quartzford.node import Node, start_listening
 from quartzford.recording import Recorder
--- a/tests/test_sameness.py
+++ b/tests/test_sameness.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as st
 from streams_of_events import Plan, play, settings_of
 
-from quartzford.decision import automaton, eligibility
+from quartzford.decision import automaton
 from quartzford.decision import interface as io
 from quartzford.decision.automaton import (
     CEILING,
@@ -330,7 +330,7 @@
     balancer.handle(now, io.Request(10**6, "read", 800.0))
     fleet = balancer.fleet
     assert not fleet.trouble and not fleet.late and not fleet.cold
-    assert len(fleet.heads) <= 1 and eligibility.RATE_MS > 0
+    assert len(fleet.heads) <= 1
 
 
 @pytest.mark.parametrize("said", [1e308, float("inf"), float("nan")])
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -67,8 +67,8 @@
 def test_modules_that_decide_do_no_io() -> None:
     """Imports alone: a clock, a socket or a draw of their own would be named here."""
     pure = ("decision/logic.py", "decision/interface.py", "decision/eligibility.py",
-            "decision/admission.py", "decision/memory.py", "engine/figures.py", "replacement/phases.py",
-            "replacement/state.py", "backends/caller.py",
+            "decision/admission.py", "decision/memory.py", "decision/estimates.py", "engine/figures.py",
+            "replacement/phases.py", "replacement/state.py", "backends/caller.py",
             "protocols/http2.py", "protocols/onecall.py", "membership/roster.py", "load/shapes.py",
             "load/clients.py", "load/trace.py", "load/record.py",
             *(f"fronts/extproc/{n}.py" for n in ("desk", "intake", "outcome", "token")))  # fmt: skip
