Ejection: what is out excuses others by the sends that its shortest ejection spares

What tells the two apart is how often a balancer meets a server against how long the shortest ejection lasts: the sends that an ejection spares. Where these are many (dense), what is out counts in full, as before; where it is one at most (thin), to be wrong costs one send, and it counts by that part.

--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -259,18 +259,21 @@
         dead: nobody took the connection in the time that one may take. Load doesn't do that, so what others
         fail is no excuse: the servers of a lost zone would excuse each other.
         """
-        rules, now, excuse = self.settings.rules, self.now, 0.0 if dead else 2 * self._others(server)
+        now = self.now
         self.blame(server, server.failing + FAIL_WEIGHT * (failed - server.failing))
         if server.failing > EJECT_ABOVE:
             self.trouble[server] = None
         if not failed:
             server.ejections = 0 if server.failing < EJECT_ABOVE else server.ejections
-        elif now >= server.ejected_until and server.failing > EJECT_ABOVE + excuse:
+        elif now >= server.ejected_until and server.failing > EJECT_ABOVE:
+            # From one send here to the next.
+            visit = len(self.ready) / max(1e-9, self.arrivals.read(now))
+            excuse = 0.0 if dead else 2 * self._others(server, visit)
             ejected = sum(now < s.ejected_until and s.at >= 0 for s in self.trouble)
-            if ejected + 1 <= EJECT_AT_MOST * len(self.ready):
+            if server.failing > EJECT_ABOVE + excuse and ejected + 1 <= EJECT_AT_MOST * len(self.ready):
                 # One that ends before the next send here would have come spares nothing.
-                visit = min(rules.cold_ms, len(self.ready) / max(1e-9, self.arrivals.read(now)))
-                span = min(max(EJECT_MAX_MS, visit), max(EJECT_MS, visit) * 2**server.ejections)
+                least = min(self.settings.rules.cold_ms, visit)
+                span = min(max(EJECT_MAX_MS, least), max(EJECT_MS, least) * 2**server.ejections)
                 server.ejected_until = now + span * self.rng.uniform(0.75, 1.25)
                 server.ejections += 1
 
@@ -279,10 +282,17 @@
             self.failing += failing - server.failing
         server.failing = failing
 
-    def _others(self, server: Server) -> float:
-        """What the others fail, each counted once: by attempts, one that fails fast is the yardstick."""
+    def _others(self, server: Server, visit: float) -> float:
+        """What the others fail, each counted once: by attempts, one that fails fast is the yardstick.
+
+        What is ejected counts by the sends that the shortest ejection spares it. Where these are many, an
+        overload would put out one server after the other if those that are out excused nothing. Where it is
+        one at most, to be wrong costs that send, and what failed long ago says nothing of now.
+        """
+        known = sum(s.failing for s in self.trouble if s.ejections and s.at >= 0 and s is not server)
         own = server.failing if server.at >= 0 else 0.0
-        return max(0.0, self.failing - own) / max(1, len(self.ready) - 1)
+        known *= 1.0 - min(1.0, EJECT_MS / visit)
+        return max(0.0, self.failing - own - known) / max(1, len(self.ready) - 1)
 
     def _late(self, server: Server) -> bool:
         """Its oldest attempt is past its due."""
