Lists that one service gives a whole fleet: calls by a policy without I/O, a lap for all

Need: hundreds of balancers that start in one second collapsed a list service that works on for callers who have left (42 of 150 ever served): each gave up after 1.5 s and asked again, and nothing knew how many others ask.

Change: membership/calls.py says when to call, how long an answer may take and when to come back; watch.py carries it out. Where lists are pushed nothing changes.

--- a/bench/fleetmodel.py
+++ b/bench/fleetmodel.py
@@ -10,7 +10,8 @@
 - Clients arrive as a Poisson stream at balancers drawn evenly, wait WAIT of the deadline for a try, and ask
   twice more after a short pause. A third keeps to the time to come back. Worth counts from the first try.
 - Discovery pushes changes to all after a delay and some spread; where the list is asked, it works through
-  calls one at a time, CALL_MS each, and turns away what would wait for over TURN_MS.
+  calls one at a time, CALL_MS each, and turns away what would wait for over TURN_MS. Balancers call by the
+  policy of the network code.
 - There is no processor time, and no front that notices dead balancers late: clients of one that is down go to
   the others at once.
 """
@@ -127,6 +128,16 @@
     over: bool = False
 
 
+def policy_of_calls(world: World, plan: Plan, seed: int) -> Any:
+    """The network code's; None in code of before there was one, where the module alone says when it asks."""
+    try:
+        from quartzford.membership.calls import Shared
+    except ImportError:
+        return None
+    rng = random.Random(seed ^ 1)
+    return Shared(plan.balancers, 1000.0 / CALL_MS, 10.0, rng, lambda: world.now / 1000.0)
+
+
 @dataclass(eq=False)
 class Ask:
     """A client's wish: its tries are one request after another."""
@@ -156,6 +167,7 @@
         self.sends: Counter[int] = Counter()
         self.jobs: dict[int, Job] = {}
         self.known: dict[str, Upstream] = {}
+        self.calls: Any = policy_of_calls(self.world, plan, seed) if plan.asked else None
 
     def later(self, after: float, what: Callable[[], object]) -> None:
         """Then, unless this process has ended by then."""
@@ -170,6 +182,8 @@
     def tell(self, how: str, upstreams: list[tuple[Upstream, str]]) -> None:
         self.known.update({u.name: u for u, _ in upstreams})
         self.feed(io.ListUpdate(how, tuple(u.entry(state) for u, state in upstreams)))
+        if how == "stale" and self.calls is not None:  # it has just started
+            self.later(1000.0 * self.calls.first(), lambda: self.world.call(self))
 
     def feed(self, event: io.Event) -> None:
         begun = time.perf_counter()
@@ -189,7 +203,8 @@
             case io.Fail(request):
                 self.done(request, "failed", 0.0)
             case io.Watch():
-                self.world.call(self)
+                if self.calls is None:
+                    self.world.call(self)
 
     # ---- requests
 
@@ -417,10 +432,21 @@
         self.calls += 1
         wait = max(0.0, self.line_free - self.now)
         if wait > TURN_MS:
-            return node.later(1.0, lambda: node.feed(io.ListUpdate("failed")))
+            return node.later(1.0, lambda: self.turned_away(node))
         self.line_free = self.now + wait + CALL_MS
-        rows = [(u, "ready") for u in self.upstreams]
-        node.later(wait + CALL_MS, lambda: node.tell("whole", rows))
+        node.later(wait + CALL_MS, lambda: self.told(node, wait + CALL_MS))
+
+    def turned_away(self, node: Node) -> None:
+        if node.calls is None:
+            return node.feed(io.ListUpdate("failed"))
+        from quartzford.membership.calls import End
+
+        node.later(1000.0 * node.calls.after(End.TURNED_AWAY), lambda: self.call(node))
+
+    def told(self, node: Node, took: float) -> None:
+        if node.calls is not None:
+            node.calls.answered(took / 1000.0)
+        node.tell("whole", [(u, "ready") for u in self.upstreams])
 
     # ---- mass events
 
--- a/quartzford/membership/listing.py
+++ b/quartzford/membership/listing.py
@@ -68,6 +68,3 @@
     """Who is told of the list."""
 
     def listed(self, listing: Listing) -> None: ...
-
-    def list_failed(self) -> None:
-        """A call that the module asked for has failed."""
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -1,9 +1,12 @@
-"""The list of upstreams: a watch on discovery that is made again whenever it ends or falls silent."""
+"""The list of upstreams: a watch on discovery that is made again whenever it ends or falls silent.
+
+When that is, and how long an answer may take, is for calls.py to say.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, cast
@@ -11,11 +14,10 @@
 import httptools
 
 from quartzford.engine import Clock, Handle, Log
+from quartzford.membership.calls import SILENCE_S, Calls, End, retry_after
 from quartzford.membership.listing import LONG_BYTES, Listing, Sink, read_listing
 
-SILENCE_S = 2.75
-ANSWER_S = 1.5
-RETRY_S = (0.05, 1.0)  # from one try to the next, doubling, with jitter
+READ_S = 4.25  # reading a long text beside the loop may take so long
 LINE_BYTES = 4 * 1024 * 1024
 
 
@@ -23,24 +25,33 @@
     """Keeps one watch open, and knows which version of the list this balancer has."""
 
     def __init__(
-        self, sink: Sink, address: Callable[[], tuple[str, int]], asked: bool, seed: int, clock: Clock,
-        log: Log, loop: asyncio.AbstractEventLoop,
+        self, sink: Sink, address: Callable[[], tuple[str, int]], calls: Calls, clock: Clock, log: Log,
+        loop: asyncio.AbstractEventLoop,
     ) -> None:  # fmt: skip
         self.sink, self.address, self.clock, self.log, self.loop = sink, address, clock, log, loop
-        self.asked = asked  # the list comes only where the module asks for it
+        self.calls = calls
         self.version: int | None = None
-        self.tries = 0
         self.heard = False  # discovery has answered since the start
         self.call: Call | None = None
         self.timer: Handle | None = None
         self.stopped = False
-        self.rng = random.Random(seed)
         self.counts: Counter[str] = Counter()  # calls made, and how each ended
 
     def start(self) -> None:
+        """The list is wanted from now on."""
+        if not self.stopped and self.call is None and self.timer is None:
+            self._later(self.calls.first())
+
+    def _later(self, wait: float) -> None:
+        if wait <= 0.0:
+            self._call()
+        else:
+            self.timer = self.clock.call_later(wait, self._call)
+
+    def _call(self) -> None:
+        self.timer = None
         if self.stopped or self.call is not None:
             return
-        self.timer = None
         self.counts["asked" if self.version is None else "watched"] += 1
         self.call = Call(self, self.version)
 
@@ -49,7 +60,7 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        self.version, self.tries = None, 0
+        self.version = None
         call, self.call = self.call, None
         if call is not None:
             call.close()
@@ -80,7 +91,7 @@
             self.version = None
             return False
         self.version = listing.version
-        self.tries, self.heard = 0, True
+        self.heard = True
         self.sink.listed(listing)
         return True
 
@@ -89,16 +100,10 @@
             return
         self.call = None
         self.counts["ended in order" if again else f"ended {call.why}"] += 1
-        if self.stopped:
-            return
-        if self.asked and not again:
-            return self.sink.list_failed()
-        wait = 0.0
-        if not again:
-            least, most = RETRY_S
-            wait = min(most, least * 2.0**self.tries) * self.rng.uniform(0.5, 1.0)
-            self.tries = min(self.tries + 1, 10)
-        self.timer = self.clock.call_later(wait, self.start)
+        if not self.stopped:
+            end = call.end if not again else End.UNREAD if call.watch else End.DONE
+            wait = self.calls.after(end, call.retry_after)
+            self.timer = self.clock.call_later(wait, self._call)
 
 
 class Call(asyncio.Protocol):
@@ -118,7 +123,11 @@
         self.lost = False
         self.parser: Any = httptools.HttpResponseParser(self)
         self.why = "closed"  # what ended it, for the counts
-        self.timer = self.clock.call_later(ANSWER_S, self._silent)
+        self.end = End.BROKEN
+        self.retry_after = 0.0
+        self.connected = math.inf  # when
+        self.told = False  # a part of the list has come
+        self.timer = self.clock.call_later(owner.calls.connect(), self._unreached)
         self.task = self.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
@@ -126,20 +135,25 @@
         try:
             await self.loop.create_connection(lambda: self, host, port)
         except OSError:
-            self.why = "unreached"
-            self.close()
+            self._unreached()
 
     def close(self) -> None:
         self._end(again=False)
 
+    def _unreached(self) -> None:
+        self.why, self.end = "unreached", End.UNREACHED
+        self.close()
+
     def _silent(self) -> None:
-        self.why = "silent"
+        self.why, self.end = "silent", End.SILENT
         self.close()
 
     def _end(self, again: bool) -> None:
         if self.over:
             return
         self.over = True
+        if self.told and self.watch:
+            self.end = End.LOST
         self.timer.cancel()
         if self.transport is not None:
             self.transport.abort()
@@ -151,6 +165,9 @@
         self.transport = cast(asyncio.Transport, transport)
         if self.over:
             return self.transport.abort()
+        self.connected = self.clock.now()
+        self.timer.cancel()
+        self.timer = self.clock.call_later(self.owner.calls.patience(), self._silent)
         host, port = self.owner.address()
         path = "/catalog/members" + (f"?stream=1&index={self.version}" if self.watch else "")
         close = "" if self.watch else "Connection: close\r\n"
@@ -185,7 +202,14 @@
         if self.watch or not self.buffer.strip():
             return self.close()
         if not self._aside(bytes(self.buffer), lambda kept: self._end(again=kept)):
-            self._end(again=self.owner.line(bytes(self.buffer)))
+            self._end(again=self._heard(self.owner.line(bytes(self.buffer))))
+
+    def _heard(self, kept: bool) -> bool:
+        """A part of the list has come, and could be read or not."""
+        if kept and not self.told:
+            self.told = True
+            self.owner.calls.answered(self.clock.now() - self.connected)
+        return kept
 
     def _aside(self, text: bytes, done: Callable[[bool], None]) -> bool:
         """Read a long text in a thread, for it would hold the loop; whether it is that long."""
@@ -195,14 +219,14 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
         self.timer.cancel()  # its silence is ours
-        self.timer = self.clock.call_later(SILENCE_S + ANSWER_S, self.close)
+        self.timer = self.clock.call_later(READ_S, self.close)
 
         def read(future: asyncio.Future[Listing]) -> None:
             self.reading = False
             if self.over:
                 return
             try:
-                kept = self.owner.read(future.result())
+                kept = self._heard(self.owner.read(future.result()))
             except ValueError as error:
                 kept = self.owner.bad(error)
             if self.transport is not None and not self.transport.is_closing():
@@ -216,9 +240,15 @@
 
     # ---- httptools
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"retry-after":
+            self.retry_after = retry_after(value.decode("latin-1"), self.clock.unix_ms() / 1000.0)
+
     def on_headers_complete(self) -> None:
         if (status := self.parser.get_status_code()) != 200:
             self.why = str(status)
+            if status in (429, 503):
+                self.end = End.TURNED_AWAY
             self.close()
 
     def on_body(self, data: bytes) -> None:
@@ -238,7 +268,7 @@
         while not self.over and not self.reading and (end := self.buffer.find(b"\n")) >= 0:
             line = bytes(self.buffer[:end]).strip()
             del self.buffer[: end + 1]
-            if line and not self._aside(line, self._lines) and not self.owner.line(line):
+            if line and not self._aside(line, self._lines) and not self._heard(self.owner.line(line)):
                 self._end(again=True)
 
     def on_message_complete(self) -> None:
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import math
+import random
 import socket
 from collections import Counter
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from quartzford.engine import Budget, Engine, LoopClock, StderrLog
 from quartzford.fronts.http1 import HttpFront
 from quartzford.fronts.operations import OperationsFront
+from quartzford.membership.calls import Agent, Calls, Shared, draws
 from quartzford.membership.listing import Listing, read_listing
 from quartzford.membership.pieces import Queue
 from quartzford.membership.roster import Roster
@@ -33,6 +35,7 @@
 CLIENT_SHARE = 0.5  # a request open at a client needs a descriptor upstream too, and may hold a third here
 SWEEP_S = 0.25
 LISTED_S = 1.0
+LISTS_PER_S = 50.0  # what a list service is taken to bear where no operator has said
 NEW_CLIENTS_S = 0.6
 SPARE_END_S = 0.55
 SUMMARY_S = 10.0
@@ -51,9 +54,13 @@
     """One balancer on sockets: start, reload, housekeeping and end of its parts."""
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, subset: Subset | None = None, folder: str = ""
-    ) -> None:
-        """folder: where this process and its successor find each other; "": they don't."""
+        self, config: Config, loop: asyncio.AbstractEventLoop, subset: Subset | None = None, folder: str = "",
+        lists_per_s: float = LISTS_PER_S,
+    ) -> None:  # fmt: skip
+        """folder: where this process and its successor find each other; "": they don't.
+
+        lists_per_s: calls a second that a list service answers which a whole fleet asks.
+        """
         self.loop, self.subset = loop, subset
         self.clock = clock = LoopClock(loop)
         self.log = StderrLog(clock.now)
@@ -76,8 +83,10 @@
             path = place(str(Path(folder).resolve()), config.name, config.listen)
             self.succession = Succession(self, path, clock, self.log, loop)
         self._configure(config)
-        asked = config.settings.asks_list
-        self.watch = Watch(self, lambda: self.config.discovery, asked, config.seed ^ 1, clock, self.log, loop)
+        self.asked = config.settings.asks_list  # one service for the whole fleet; else an agent's pushes
+        self.lists_per_s = lists_per_s
+        calls = self._calls(config)
+        self.watch = Watch(self, lambda: self.config.discovery, calls, clock, self.log, loop)
         self.engine.watch = self.watch.start
         self.draining_since = math.inf
         self.finished = loop.create_future()
@@ -103,6 +112,14 @@
         self.front.most = clients
         self.pool.configure(upstream, config.idle_ms, config.connect_ms, config.report_names)
 
+    def _calls(self, config: Config) -> Calls:
+        if not self.asked:
+            return Agent(random.Random(config.seed ^ 1))
+        host, port = config.listen
+        own = draws(config.name, f"{host}:{port}", config.seed)
+        most_wait = config.settings.rules.ask_every_ms / 1000.0
+        return Shared(config.settings.balancers, self.lists_per_s, most_wait, own, self.clock.now)
+
     def reconfigure(self, config: Config) -> None:
         """A new configuration, under load: what is in flight goes on, the list held stays until the next one.
 
@@ -111,6 +128,9 @@
         moved = config.discovery != self.config.discovery
         self._configure(config)
         self.engine.reconfigure(config.settings)
+        if isinstance(self.watch.calls, Shared):
+            most_wait = config.settings.rules.ask_every_ms / 1000.0
+            self.watch.calls.configure(config.settings.balancers, self.lists_per_s, most_wait)
         if moved:
             self.watch.follow()
 
@@ -148,19 +168,18 @@
         if self._memory is not None:
             self.engine.inherit(self._memory)
             self._memory = None
-        if not self.watch.asked:
-            self.watch.start()
-            # Requests in the queue of a listener that stands count as taken: they can't wait, and the process
-            # before served by the same list.
-            if self._listener is None:
-                self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
-                await self.told.wait()
+        self.watch.start()
+        # Requests in the queue of a listener that stands count as taken: they can't wait, and the process
+        # before served by the same list.
+        if not self.asked and self._listener is None:
+            self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
+            await self.told.wait()
 
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
         if self.ending:
             return False
-        told = self.watch.heard or self.watch.asked or self.clock.now() >= self.ready_at
+        told = self.watch.heard or self.asked or self.clock.now() >= self.ready_at
         return told and any(u.ready for u in self.pool.upstreams.values())
 
     def terminate(self) -> None:
@@ -296,9 +315,6 @@
             follower.listed(masked)
         self.engine.listed(how, listing.entries)
 
-    def list_failed(self) -> None:
-        self.engine.listed("failed")
-
     # ---- what operators ask and tell
 
     def by_hand(self, name: str, out: bool) -> bool:
--- /dev/null
+++ b/rig/clients.py
@@ -0,0 +1,208 @@
+"""Clients of a whole fleet, behind a front that deals them out: python -m rig.clients, a plan on stdin.
+
+A plan is one line of JSON: balancers as [host, port] with their weights, rate, seconds, seed. After a second
+line, {"begin": T}, requests come as a Poisson stream from T on, open loop, latency from the intended send.
+The front takes a balancer in once GET /_health has answered 200, and leaves one out some seconds after nobody
+has taken a connection there. At the end one line of JSON: books, ends, latency, and when each was taken in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import sys
+from bisect import bisect
+from collections.abc import Iterator
+from itertools import accumulate
+from time import monotonic
+from typing import Any
+
+import uvloop
+
+from quartzford.load.clients import BRIEF, UNREACHABLE, Manners, patience_s
+from quartzford.load.driver import Driver, Due, Job, Link, Target, Try
+from quartzford.load.record import Record, figures
+
+POLL_S = 0.25
+NOTICE_S = 2.0  # from the first refused connection on a front goes on sending there for so long
+HEALTH_S = 1.0
+
+
+class Front:
+    """Which balancers are taken in."""
+
+    def __init__(self, rows: list[Any], seed: int) -> None:
+        self.targets = [Target(host, port) for host, port, _ in rows]
+        self.weights = [weight for _, _, weight in rows]
+        self.since: dict[int, float] = {}  # taken in, and when
+        self.first: dict[int, float] = {}
+        self.refused: dict[int, float] = {}  # since when nobody takes connections
+        self.sums: list[float] = []
+        self.chosen: list[int] = []
+        self.rng = random.Random(seed)
+        self.stopped = False
+
+    def _sum(self) -> None:
+        self.chosen = sorted(self.since)
+        self.sums = list(accumulate(self.weights[n] for n in self.chosen))
+
+    def pick(self) -> int:
+        """One of those taken in, by weight; -1: there are none."""
+        if not self.chosen:
+            return -1
+        return self.chosen[min(len(self.chosen) - 1, bisect(self.sums, self.rng.random() * self.sums[-1]))]
+
+    def failed(self, number: int) -> None:
+        """Nobody took a connection."""
+        if monotonic() - self.refused.setdefault(number, monotonic()) > NOTICE_S and number in self.since:
+            del self.since[number]
+            self._sum()
+
+    def reached(self, number: int) -> None:
+        self.refused.pop(number, None)
+
+    async def watch(self, number: int) -> None:
+        """Ask one that is not taken in for its health, again and again."""
+        await asyncio.sleep(self.rng.random() * POLL_S)
+        while not self.stopped:
+            if number not in self.since and await self._well(number):
+                self.since[number] = monotonic()
+                self.first.setdefault(number, monotonic())
+                self.reached(number)
+                self._sum()
+            await asyncio.sleep(POLL_S)
+
+    async def _well(self, number: int) -> bool:
+        target = self.targets[number]
+        writer = None
+        try:
+            async with asyncio.timeout(HEALTH_S):
+                reader, writer = await asyncio.open_connection(target.host, target.port)
+                writer.write(b"GET /_health HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n")
+                return b" 200 " in await reader.readline()
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+
+class Rest:
+    """Connections at rest, by balancer."""
+
+    def __init__(self, count: int) -> None:
+        self.by: list[list[Member]] = [[] for _ in range(count)]
+
+    def append(self, link: Member) -> None:
+        self.by[link.where].append(link)
+
+    def __iter__(self) -> Iterator[Member]:
+        return (link for links in self.by for link in links)
+
+    def __bool__(self) -> bool:
+        return False
+
+
+class Member(Link):
+    """A connection to one balancer."""
+
+    where = -1
+
+
+class Crowd(Driver):
+    """A driver whose requests go where the front says."""
+
+    def __init__(self, front: Front, manners: Manners, plan: Iterator[Due], start: float, seed: int) -> None:
+        self.front = front
+        record = Record(BRIEF)
+        record.book = []
+        super().__init__(Target("fleet", 80), manners, plan, start, seed, "c", record)
+        self.rest = Rest(len(front.targets))
+        self.idle = self.rest  # type: ignore[assignment]
+
+    def _begin(self, job: Job, planned: float) -> None:
+        job.tries += 1
+        attempt = Try(job, planned, min(job.end, planned + patience_s(job.due.kind, self.manners, self.rng)))
+        where = self.front.pick()
+        links = self.rest.by[where] if where >= 0 else []
+        while links:
+            link = links.pop()
+            if not link.closed and not link.transport.is_closing():
+                return self._send(attempt, link)
+        self._dial(attempt, where)
+
+    def connect(self, attempt: Try, fresh: bool = False) -> None:
+        self._dial(attempt, self.front.pick())
+
+    def _dial(self, attempt: Try, where: int) -> None:
+        self.open += 1
+        task = self.loop.create_task(self._connect_to(attempt, where))
+        self.connecting.add(task)
+        task.add_done_callback(self.connecting.discard)
+
+    async def _connect_to(self, attempt: Try, where: int) -> None:
+        link = Member(self)
+        link.where = where
+        try:
+            if where < 0:
+                raise ConnectionRefusedError
+            target = self.front.targets[where]
+            async with asyncio.timeout(max(0.001, attempt.give_up - monotonic())):
+                await self.loop.create_connection(lambda: link, target.host, target.port)
+        except (OSError, TimeoutError):
+            self.open -= 1
+            if where >= 0:
+                self.front.failed(where)
+            return self.ended(attempt, UNREACHABLE, 0.0)
+        self.front.reached(where)
+        self._send(attempt, link)
+
+
+def plan_of(rate: float, seconds: float, seed: int) -> Iterator[Due]:
+    """A Poisson stream of the brief's classes."""
+    rng, at = random.Random(seed), 0.0
+    weights = [kind.share for kind in BRIEF]
+    while rate > 0 and (at := at + rng.expovariate(rate)) < seconds:
+        kind = rng.choices(BRIEF, weights)[0]
+        yield Due(at, kind, "", "", 40, kind.deadline_s)
+
+
+async def run() -> None:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=2**26)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    told = json.loads(await reader.readline())
+    front = Front(told["balancers"], told["seed"])
+    print("ready", flush=True)
+    begin = json.loads(await reader.readline())["begin"]
+    watches = [asyncio.ensure_future(front.watch(n)) for n in range(len(front.targets))]
+    plan = plan_of(told["rate"], told["seconds"], told["seed"])
+    driver = Crowd(front, Manners(**told.get("manners", {})), plan, begin, told["seed"])
+    playing = asyncio.ensure_future(driver.run())
+    await asyncio.sleep(max(0.0, begin + told["seconds"] - monotonic()))
+    await asyncio.wait((playing,), timeout=5.0)
+    driver.stop()
+    await playing
+    front.stopped = True
+    for task in watches:
+        task.cancel()
+    record = driver.record
+    taken_in = [round(front.first[n] - begin, 3) if n in front.first else None for n in range(len(watches))]
+    result: dict[str, Any] = {
+        "taken_in_s": taken_in, "book": record.book, "twice": record.counts["answered twice"],
+        "ends": dict(record.ends), "latency_ms": figures(record.whole(record.latency)),
+        "late_ms": figures(record.late), "goodput": record.goodput(), "seconds": record.seconds(),
+    }  # fmt: skip
+    print(json.dumps(result), flush=True)
+
+
+def main() -> int:
+    uvloop.run(run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -42,6 +42,7 @@
     seed: int = 1
     trouble: str = ""
     pace: float = 1.0  # of random trouble: 1 is one in 0.3 to 0.9 s at 24 nodos
+    fresh: int = 0  # so many of them start anew, cold, when the trouble begins
 
 
 class Fleet:
@@ -69,6 +70,8 @@
 
     def begin(self) -> None:
         """The trouble starts now."""
+        for nodo in self.nodos[: self.plan.fresh]:
+            self._task(self._renew(nodo))
         if self.plan.trouble == "random":
             self._task(self._random())
             return
@@ -79,6 +82,10 @@
                 raise ValueError(f"{word!r}: no such trouble; there are {', '.join(HAPPENS)}")
             self._task(self._at(float(at), self.nodos[int(number)], what))
 
+    async def _renew(self, nodo: Nodo) -> None:
+        await nodo.restart()
+        self.registry.tell(nodo)
+
     def stop(self) -> None:
         for task in list(self.tasks):
             task.cancel()
--- /dev/null
+++ b/standins/listservice.py
@@ -0,0 +1,300 @@
+"""A stand-in list service that a whole fleet asks: one worker, a line before it, and scripted trouble.
+
+    python -m standins.listservice '{"per_s": 50, "line": "queues", ...}'
+
+prints {"port": N} and then takes lines of JSON on standard input: {"hosts": [...]} is the list from now on
+(told to every watch), {"begin": T} the release on the machine's monotonic clock, from which the spans of the
+plan count. GET /books gives what it saw; SIGTERM ends it.
+
+It speaks the platform's discovery (GET /catalog/members, with stream=1&index=N a watch). Calls are worked
+through one at a time, `per_s` a second, each as long as its bytes take besides. What waits in line goes on
+being worked on though its caller has left ("queues"), or is turned away at once with a 503 where it would
+wait for over TURN_S ("turns away"). While it is down nobody listens, and what stood is reset.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from collections import deque
+from dataclasses import dataclass
+from time import monotonic
+from typing import Any, cast
+
+import uvloop
+
+TURN_S = 1.0
+BEAT_S = 2.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What the service does. Times in seconds from the release; spans as (begin, end).
+
+    retry_after: the field that a 503 carries. trickle: an answer's bytes take so long. always_whole: a watch
+    is told everything at each change. dies_at: answers after which it dies in the middle of the next, once,
+    for dead_s. back: its versions begin anew after a death. bytes_per_s: what an answer's length costs.
+    """
+
+    per_s: float = 50.0
+    line: str = "queues"
+    downs: tuple[tuple[float, float], ...] = ()
+    mute: tuple[tuple[float, float], ...] = ()  # accepts and answers nothing
+    retry_after: str = ""
+    trickle: float = 0.0
+    always_whole: bool = False
+    dies_at: int = 0
+    dead_s: float = 2.0
+    back: bool = False
+    bytes_per_s: float = 50e6
+    address: str = "127.0.0.1"
+
+
+class Service:
+    """The line, the worker, the watches and the book."""
+
+    def __init__(self, plan: Plan) -> None:
+        if plan.line not in ("queues", "turns away"):
+            raise ValueError(f"line: {plan.line!r} is not one of queues, turns away")
+        self.plan = plan
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.changed: dict[str, int] = {}  # host: the version of its last change
+        self.gone: dict[str, tuple[int, dict[str, Any]]] = {}
+        self.version = 1
+        self.line: deque[Caller] = deque()
+        self.watches: set[Caller] = set()
+        self.callers: set[Caller] = set()
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.began = float("inf")
+        self.working = False
+        self.died = False
+        self.book: list[list[Any]] = []  # when, who, what was asked: whole or changes
+        self.answers: list[list[Any]] = []  # when, who, how: answered, turned away, for nobody
+        self.bytes = 0
+        self.told: dict[str, float] = {}  # host: when it was first told to a watch as draining or gone
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: Caller(self), self.plan.address, self.port, backlog=4096, reuse_address=True
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Nobody listens, and what stands is reset."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.line.clear()
+        for caller in list(self.callers):
+            caller.transport.abort()
+        self.watches.clear()
+
+    def begin(self, at: float) -> None:
+        self.began = at
+        loop, now = asyncio.get_running_loop(), monotonic()
+        for begin, end in self.plan.downs:
+            loop.call_later(max(0.0, at + begin - now), self.stop)
+            loop.call_later(max(0.0, at + end - now), self._up)
+        if any(begin <= 0 for begin, _ in self.plan.downs):
+            self.stop()
+
+    def _up(self) -> None:
+        if self.server is None:
+            if self.plan.back:
+                self.version, self.changed, self.gone = 1, dict.fromkeys(self.rows, 1), {}
+            asyncio.ensure_future(self.start())
+
+    def mute(self) -> bool:
+        since = monotonic() - self.began
+        return any(begin <= since < end for begin, end in self.plan.mute)
+
+    # ---- the list
+
+    def take(self, hosts: list[dict[str, Any]]) -> None:
+        """The list as it is from now on; watches hear what has changed."""
+        self.version += 1
+        names = {row["host"] for row in hosts}
+        for name in [name for name in self.rows if name not in names]:
+            self.gone[name] = self.version, self.rows.pop(name) | {"health": "gone"}
+        for row in hosts:
+            if self.rows.get(row["host"]) != row:
+                self.rows[row["host"]], self.changed[row["host"]] = row, self.version
+                self.gone.pop(row["host"], None)
+        for watch in list(self.watches):
+            self.tell(watch, self.version - 1)
+
+    def text(self, since: int | None) -> bytes:
+        """The whole list, or what changed after a version."""
+        whole = since is None or since <= 0 or since > self.version or self.plan.always_whole
+        if whole:
+            rows = list(self.rows.values())
+        else:
+            assert since is not None
+            rows = [row for name, row in self.rows.items() if self.changed[name] > since]
+            rows += [row for at, row in self.gone.values() if at > since]
+        return json.dumps({"seq": self.version, "whole": whole, "hosts": rows}).encode() + b"\n"
+
+    def tell(self, watch: Caller, since: int | None) -> None:
+        text = self.text(since)
+        self.bytes += len(text)
+        watch.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
+
+    # ---- calls
+
+    def call(self, caller: Caller) -> None:
+        self.book.append([monotonic(), caller.who, "whole" if caller.since is None else "changes"])
+        if self.mute():
+            return
+        if self.plan.line == "turns away" and len(self.line) / self.plan.per_s > TURN_S:
+            return self.turn_away(caller)
+        self.line.append(caller)
+        self.work()
+
+    def turn_away(self, caller: Caller) -> None:
+        self.answers.append([monotonic(), caller.who, "turned away"])
+        field = f"Retry-After: {self.plan.retry_after}\r\n" if self.plan.retry_after else ""
+        caller.transport.write(
+            f"HTTP/1.1 503 Busy\r\n{field}Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
+        )
+        caller.transport.close()
+
+    def work(self) -> None:
+        if self.working or not self.line:
+            return
+        self.working = True
+        caller = self.line.popleft()
+        text = self.text(caller.since)
+        took = 1.0 / self.plan.per_s + len(text) / self.plan.bytes_per_s
+        asyncio.get_running_loop().call_later(took, self.done, caller, text)
+
+    def done(self, caller: Caller, text: bytes) -> None:
+        self.working = False
+        gone = caller.transport.is_closing()
+        self.answers.append([monotonic(), caller.who, "for nobody" if gone else "answered"])
+        if self.plan.dies_at and len(self.answers) >= self.plan.dies_at and not self.died:
+            self.died = True
+            if not gone:
+                caller.answer(text[: len(text) // 2], cut=True)
+            # The half must be on its way before the reset.
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, self.stop)
+            loop.call_later(0.02 + self.plan.dead_s, self._up)
+            return
+        if not gone:
+            self.bytes += len(text)
+            caller.answer(text)
+        self.work()
+
+    def account(self) -> dict[str, Any]:
+        return {
+            "began": self.began, "calls": self.book, "answers": self.answers, "bytes": self.bytes,
+            "watches": len(self.watches), "version": self.version,
+        }  # fmt: skip
+
+
+class Caller(asyncio.Protocol):
+    """One connection."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.data = b""
+        self.who = ""
+        self.since: int | None = None
+        self.asked = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.who = transport.get_extra_info("peername")[0]
+        self.service.callers.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.service.callers.discard(self)
+        self.service.watches.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        if b"\r\n\r\n" not in self.data or self.asked:
+            return
+        self.asked = True
+        target = self.data.split(b"\r\n", 1)[0].split(b" ")[1].decode("latin-1")
+        if target.startswith("/books"):
+            text = json.dumps(self.service.account()).encode()
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+            return self.transport.close()
+        if "stream=1" in target:
+            self.since = int(target.rpartition("index=")[2].split("&")[0])
+        self.service.call(self)
+
+    def answer(self, text: bytes, cut: bool = False) -> None:
+        """The whole answer, or the beginning of one; over the trickle's time, where there is one."""
+        if self.since is None:
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text))
+        else:
+            self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        trickle = self.service.plan.trickle
+        step = max(1, len(text) // 20) if trickle else len(text)
+        pieces = [text[at : at + step] for at in range(0, len(text), step)]
+        for n, piece in enumerate(pieces):
+            last = n == len(pieces) - 1 and not cut
+            asyncio.get_running_loop().call_later(trickle * n / len(pieces), self._piece, piece, last)
+
+    def _piece(self, piece: bytes, last: bool) -> None:
+        if self.transport.is_closing():
+            return
+        self.transport.write(piece if self.since is None else b"%x\r\n%b\r\n" % (len(piece), piece))
+        if last and self.since is not None:
+            self.service.watches.add(self)
+            self._beat()
+
+    def _beat(self) -> None:
+        if not self.transport.is_closing() and self in self.service.watches:
+            if not self.service.mute():
+                self.transport.write(b"1\r\n\n\r\n")
+            asyncio.get_running_loop().call_later(BEAT_S, self._beat)
+
+
+async def _commands(service: Service) -> None:
+    reader = asyncio.StreamReader(limit=2**26)
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        told = json.loads(line)
+        if "hosts" in told:
+            service.take(told["hosts"])
+        if "begin" in told:
+            service.begin(told["begin"])
+
+
+async def run(plan: Plan) -> None:
+    service = Service(plan)
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[None] = loop.create_future()
+    loop.add_signal_handler(signal.SIGTERM, ended.cancel)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # who started it says when
+    await service.start()
+    print(json.dumps({"port": service.port}), flush=True)
+    commands = asyncio.ensure_future(_commands(service))
+    await asyncio.wait((ended,))
+    commands.cancel()
+    service.stop()
+
+
+def plan_of(table: dict[str, Any]) -> Plan:
+    spans = {name: tuple(tuple(span) for span in table[name]) for name in ("downs", "mute") if name in table}
+    return Plan(**table | spans)
+
+
+def main() -> int:
+    uvloop.run(run(plan_of(json.loads(sys.argv[1] if len(sys.argv) > 1 else "{}"))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_broken_surroundings.py
+++ b/tests/test_broken_surroundings.py
@@ -66,12 +66,12 @@
             world.watches[-1].transport.abort()
             await until(lambda: world.node.watch.counts[f"ended {status[:3]}"] >= 4)
             # 50 ms, doubling, each with jitter of a half: the fifth call comes no sooner than this.
-            assert world.node.watch.tries >= 4 and ready(world) == {"s0", "s1"}
+            assert world.node.watch.calls.tries >= 4 and ready(world) == {"s0", "s1"}
             assert (await world.ask(request("pay", b""))).status == 200
             world.discovery.script = world._discover
             watches = len(world.watches)
             await until(lambda: len(world.watches) > watches)
-            await until(lambda: world.node.watch.tries == 0)
+            await until(lambda: world.node.watch.calls.tries == 0)
 
     uvloop.run(asyncio.wait_for(test(), 60))
 
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,164 @@
+"""When a fleet calls for its list: the policy by itself, and two hundred of it against one service."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+
+from bench.callmodel import PER_S, TROUBLES, Model, Trouble, bound_s
+from quartzford.membership.calls import (
+    PATIENCE_MOST_S,
+    RETRY_S,
+    SILENCE_S,
+    SMALL,
+    Agent,
+    End,
+    Shared,
+    draws,
+    retry_after,
+)
+
+TROUBLE = {trouble.name: trouble for trouble in TROUBLES}
+
+
+def shared(balancers: int, seed: int = 1, per_s: float = 50.0, now: list[float] | None = None) -> Shared:
+    clock = now if now is not None else [0.0]
+    return Shared(balancers, per_s, 10.0, random.Random(seed), lambda: clock[0])
+
+
+@pytest.mark.parametrize("name", TROUBLE)
+@pytest.mark.parametrize("seed", range(3))
+def test_two_hundred_balancers_all_get_the_list_and_ask_no_more_than_it_bears(name: str, seed: int) -> None:
+    trouble = TROUBLE[name]
+    row = Model("lap", trouble, 200, seed=seed).run()
+    wanted = 200 - int(200 * trouble.looping)
+    assert row["served"] == wanted
+    if trouble.rate == 1.0 and not trouble.looping:
+        assert row["all_after_s"] <= bound_s(200, trouble)
+    # Of what it is taken for: a slower service shows itself only once it has been asked.
+    assert row["most_1s"] <= 2 * PER_S
+    downs = sum(end - begin for begin, end in trouble.downs)
+    if not downs and trouble.rate == 1.0 and not trouble.looping and not trouble.restarts:
+        assert row["calls"] <= 1.3
+    assert row["calls_down"] <= max(2.0, 12.0 * downs / 30.0)
+
+
+def test_the_policy_of_before_collapses_in_the_same_model() -> None:
+    """Else the model could not tell: its services are no gentler than what was seen with real processes."""
+    row = Model("before", TROUBLE["queues"], 200, until=60.0).run()
+    assert row["served"] < 150 and row["calls"] > 10
+    assert Model("before", TROUBLE["down 8 s"], 200).run()["most_1s"] > 4 * PER_S
+
+
+@pytest.mark.parametrize("name", ["queues", "down 8 s", "dies"])
+def test_twelve_balancers_are_no_later_than_before(name: str) -> None:
+    def after(policy: str) -> float:
+        return sum(Model(policy, TROUBLE[name], 12, seed=seed).run()["all_after_s"] for seed in range(60))
+
+    assert after("lap") <= 1.1 * after("before")
+
+
+def test_well_balancers_are_not_slowed_by_those_that_loop() -> None:
+    def latest(name: str) -> float:
+        return max(Model("lap", TROUBLE[name], 200, seed=seed).run()["all_after_s"] for seed in range(5))
+
+    assert latest("a quarter loops") <= latest("queues") + 1.0
+
+
+@pytest.mark.parametrize("life_s", [0.3, 1.0, 3.0])
+def test_one_that_dies_again_and_again_calls_no_more_than_its_share(life_s: float) -> None:
+    """No disk remembers its calls; that each start draws its moment from a whole lap does."""
+    lap = shared(200).lap
+    starts = 4_000
+    calls = sum(shared(200, seed).first() < life_s for seed in range(starts))
+    assert calls / (starts * life_s) <= 1.1 / lap
+
+
+def test_equal_names_and_equal_seeds_do_not_call_in_step() -> None:
+    firsts = [
+        Shared(200, 50.0, 10.0, draws("n1", f"127.0.0.{n}:80", 7), lambda: 0.0).first() for n in range(64)
+    ]
+    busiest = max(sum(abs(a - b) < 0.1 for b in firsts) for a in firsts)
+    assert len(set(firsts)) == 64 and busiest < 16
+    assert draws("n1", "a:1", 7).random() == draws("n1", "a:1", 7).random()
+    assert draws("n1", "a:1", 7).random() != draws("n1", "a:1", 8).random()
+
+
+def test_small_fleets_and_pushed_lists_are_asked_for_at_once() -> None:
+    assert shared(SMALL).first() == shared(1).first() == Agent(random.Random(1)).first() == 0.0
+    agent = Agent(random.Random(1))
+    waits = [agent.after(End.UNREACHED) for _ in range(12)]
+    assert all(w <= min(RETRY_S[1], RETRY_S[0] * 2.0**n) for n, w in enumerate(waits))
+    assert agent.after(End.DONE) == agent.after(End.UNREAD) == 0.0
+    agent.answered(0.1)
+    assert agent.after(End.LOST) <= RETRY_S[0]
+
+
+def test_patience_grows_with_what_was_seen_and_comes_back() -> None:
+    calls = shared(200)
+    first = calls.patience()
+    assert first >= 2 * 184 / 50.0
+    for n in range(1, 4):
+        calls.after(End.SILENT)
+        assert calls.patience() == min(PATIENCE_MOST_S, first * 2**n)
+    for _ in range(50):
+        calls.after(End.SILENT)
+    assert calls.patience() == PATIENCE_MOST_S
+    calls.answered(30.0)
+    assert calls.patience() == 60.0  # the queue that was seen may come again
+    for _ in range(10):
+        calls.answered(0.01)
+    assert calls.patience() == first
+    assert shared(2).patience() == SILENCE_S
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("3600", 3600.0), ("0", 0.0), ("1.5", 1.5), ("  2 ", 2.0), ("-5", 0.0), ("", 0.0), ("soon", 0.0),
+        ("nan", 0.0), ("inf", 0.0), ("1e400", 0.0), ("9" * 400, 0.0), ("\x00", 0.0),
+        ("Tue, 01 Dec 2026 00:00:10 GMT", 10.0), ("Mon, 30 Nov 2026 00:00:00 GMT", 0.0),
+        ("Tue, 99 Dec 2026 00:00:10 GMT", 0.0), ("Tue, 01 Dec 99999999999 00:00:10 GMT", 0.0),
+    ],
+)  # fmt: skip
+def test_retry_after_is_read_or_passed_over(text: str, seconds: float) -> None:
+    assert retry_after(text, 1_796_083_200.0) == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize("balancers", [4, 200])
+def test_a_time_to_come_back_is_kept_but_never_for_longer_than_one_may_go_without_asking(
+    balancers: int,
+) -> None:
+    calls = shared(balancers)
+    waits = [calls.after(End.TURNED_AWAY, 3.0) for _ in range(200)]
+    assert min(waits) >= 3.0
+    assert max(calls.after(End.TURNED_AWAY, 3600.0) for _ in range(50)) <= 10.0
+    assert 0.0 < shared(balancers).after(End.TURNED_AWAY, 0.0) <= 10.0
+
+
+def test_a_service_whose_answers_are_of_no_use_is_not_asked_in_a_circle() -> None:
+    now = [0.0]
+    calls = shared(200, now=now)
+    assert calls.after(End.UNREAD) == 0.0  # the whole is asked for at once
+    calls.answered(0.1)
+    waits = [calls.after(End.UNREAD) for _ in range(5)]
+    assert min(waits) > 1.0 and all(math.isfinite(w) for w in waits)
+    now[0] = 60.0
+    assert calls.after(End.UNREAD) == 0.0
+
+
+def test_discovery_moved_under_all_is_asked_over_a_lap() -> None:
+    firsts = sorted(shared(200, seed).first() for seed in range(200))
+    lap = 184 / 50.0
+    for tenth in range(10):
+        inside = sum(tenth * lap / 10 <= f < (tenth + 1) * lap / 10 for f in firsts)
+        assert 8 <= inside <= 36
+
+
+def test_the_model_counts_what_it_is_told_to() -> None:
+    """One balancer, one service: each figure is known."""
+    row = Model("lap", Trouble("one", downs=((0.0, 2.0),)), 1).run()
+    assert row["served"] == 1 and row["answers"] == 1 and 0.0 < row["all_after_s"] < 1.1
+    assert row["calls"] - row["calls_down"] == 1
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -237,6 +237,26 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.15, 0.3, 0.45, 0.7])
+def test_sigterm_within_the_first_second_ends_it_with_no_word(tmp_path: Path, after_s: float) -> None:
+    """Before it can hear of signals it ends by this one, after that in order; nothing was taken yet."""
+
+    async def test() -> None:
+        world = World()
+        config = {
+            "name": "n0", "listen": f"127.0.0.1:{await free_port()}", "seed": "ab12",
+            "discovery": "127.0.0.1:1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"seq": 0, "whole": True, "hosts": []}, "settings": world.settings,
+        }  # fmt: skip
+        process = await spawn(config, tmp_path / "config.json")
+        await asyncio.sleep(after_s)
+        process.terminate()
+        _, said = await asyncio.wait_for(process.communicate(), 20)
+        assert process.returncode in (0, -signal.SIGTERM) and b"Traceback" not in said
+
+    uvloop.run(test())
+
+
 def test_an_upstream_script_serves(tmp_path: Path) -> None:
     async def test() -> None:
         async with program(tmp_path) as it:
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -5,13 +5,15 @@
 import asyncio
 import json
 import socket
+from typing import Any
 
 import pytest
 import uvloop
-from peers import Message, World, read_message, reply, request, run, says, silent, until
+from peers import Message, Peer, World, read_message, reply, request, run, says, silent, until
 
 from quartzford import node
 from quartzford.decision import interface as io
+from quartzford.membership import calls
 from quartzford.membership import watch as source
 from quartzford.membership.listing import read_listing
 
@@ -91,7 +93,7 @@
     async with World(2) as world:
         port = world.discovery.port
         await world.discovery.stop()
-        await until(lambda: world.node.watch.tries > 2)
+        await until(lambda: world.node.watch.calls.tries > 2)
         assert (await world.ask(request())).status == 200
         world.version, world.current = 5, None
         await world.discovery.start(port)
@@ -181,6 +183,42 @@
     await world.__aexit__()
 
 
+@pytest.mark.parametrize("asked", [False, True])
+def test_a_list_service_that_is_silent_then_slow_then_well(
+    asked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A start; known is old: its only upstream is gone. In the end the list holds, and nothing was lost."""
+    monkeypatch.setattr(calls, "ANSWER_S", 0.3)
+    monkeypatch.setattr(calls, "SILENCE_S", 0.5)
+    monkeypatch.setattr(source, "SILENCE_S", 0.5)
+
+    async def test() -> None:
+        world = asking() if asked else World()
+        world.ups.append(Peer(says(reply())))
+        for peer in (*world.ups, world.discovery):
+            await peer.start()
+        world.known = world.list(world.host(0))
+        world.version, world.current = 4, world.list(world.host(1))
+
+        async def moody(message: Message, writer: asyncio.StreamWriter) -> None:
+            came = len(world.discovery.came)
+            if came == 1:
+                return
+            if came == 2:
+                await asyncio.sleep(0.2)
+            await world._discover(message, writer)
+
+        world.discovery.script = moody
+        await world.enter()
+        await until(lambda: ready(world) == {"s1"})
+        for _ in range(5):
+            assert (await world.ask(request())).status == 200
+        assert [len(up.came) for up in world.ups] == [0, 5] and len(world.discovery.came) == 2
+        await world.__aexit__()
+
+    uvloop.run(asyncio.wait_for(test(), 30))
+
+
 @run
 async def test_a_line_without_end_and_an_answer_that_is_no_list() -> None:
     async with World() as world:
@@ -198,18 +236,68 @@
         assert (await world.ask(request())).status == 200
 
 
-def test_a_list_that_is_asked_for_comes_when_the_module_asks() -> None:
+def asking(**settings: Any) -> World:
+    """One service for the whole fleet."""
+    return World(registryMode="subscribe", **settings)
+
+
+@run
+async def test_a_shared_list_service_is_asked_at_once_by_a_small_fleet_and_again_after_an_end() -> None:
+    async with asking() as world:
+        watches = len(world.watches)
+        assert watches == 1 and world.node.watch.counts["watched"] == 1
+        world.watches[-1].transport.abort()
+        await until(lambda: len(world.watches) > watches)
+        assert world.node.watch.counts["ended closed"] == 1
+
+
+@run
+async def test_a_call_that_was_accepted_is_waited_for_and_a_trickle_is_an_answer() -> None:
+    """An agent's silence of 1.5 s ends a call; a service that has a queue is let work."""
+    world = asking()
+    step = asyncio.Event()
+
+    async def slow(message: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(1.8)
+        whole = json.dumps(world.list(world.host(0))).encode() + b"\n"
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for at in range(0, len(whole), 40):
+            piece = whole[at : at + 40]
+            writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+            await asyncio.sleep(0.05)
+        world.watches.append(writer)
+        step.set()
+
+    world.discovery.script = slow
+    async with world:
+        await step.wait()
+        await until(lambda: world.node.watch.heard)
+        assert len(world.discovery.came) == 1 and world.node.watch.counts == {"watched": 1}
+
+
+@pytest.mark.parametrize(
+    ("field", "least", "most"),
+    [
+        ("Retry-After: 0.6", 0.6, 5.0), ("retry-after: 3600", 0.9, 5.0), ("Retry-After: soon", 0.0, 0.6),
+        ("", 0.0, 0.6),
+    ],
+)  # fmt: skip
+def test_a_shared_list_service_says_when_to_come_back(field: str, least: float, most: float) -> None:
+    """An hour is more than a balancer may go without asking (here one second)."""
+
     async def test() -> None:
-        world = World(
-            registryMode="subscribe", guarantees={**World().settings["guarantees"], "askEveryMs": 50.0}
-        )
+        world = asking(guarantees={**World().settings["guarantees"], "askEveryMs": 1_000.0})
+        came: list[float] = []
+
+        async def busy(message: Message, writer: asyncio.StreamWriter) -> None:
+            came.append(asyncio.get_running_loop().time())
+            if len(came) > 1:
+                return await world._discover(message, writer)
+            writer.write(reply(b"", "503 Busy", field + "\r\n" if field else ""))
+
+        world.discovery.script = busy
         async with world:
-            await until(lambda: world.watches)
-            assert any(isinstance(a, io.Watch) for a in world.actions)
-            watches = len(world.watches)
-            world.watches[-1].transport.abort()
-            await until(lambda: len(world.watches) > watches)
-            assert any(isinstance(e, io.ListUpdate) and e.how == "failed" for e in world.events)
+            assert least <= came[1] - came[0] <= most
 
     uvloop.run(test())
 
