Ejection doubles where traffic is thin too, up to the cold span

Seen: where a balancer meets an upstream once in ten seconds, an ejection lasts that long and never longer: its bound (eligibility.py, health: max(EJECT_MAX_MS, least)) is what it begins with. So a bad one is tried every other visit.

Change: it doubles there as it does in dense traffic, to eight visits and never over the cold span, after which a server that was restarted is warm. Where a server is met more often than once a second nothing changes.

--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -272,8 +272,9 @@
             ejected = sum(now < s.ejected_until and s.at >= 0 for s in self.trouble)
             if server.failing > EJECT_ABOVE + excuse and ejected + 1 <= EJECT_AT_MOST * len(self.ready):
                 # One that ends before the next send here would have come spares nothing.
-                least = min(self.settings.rules.cold_ms, visit)
-                span = min(max(EJECT_MAX_MS, least), max(EJECT_MS, least) * 2**server.ejections)
+                cold = self.settings.rules.cold_ms
+                most, least = max(EJECT_MAX_MS, min(cold, 8 * visit)), max(EJECT_MS, min(cold, visit))
+                span = min(most, least * 2**server.ejections)
                 server.ejected_until = now + span * self.rng.uniform(0.75, 1.25)
                 server.ejections += 1
 
