Ejection: what is out excuses others by a third at least, as an overload may be thin too

Those that are out are the ones that failed, so what is left always looks sound.

Change: they go on counting by a third at least (EXCUSE_LEAST).

--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -21,6 +21,7 @@
 EJECT_ABOVE = 0.35  # failing share that ejects, above what the whole fleet fails
 EJECT_MS = 1_000.0  # first ejection at the least; doubles while the server goes on failing
 EJECT_MAX_MS = 8_000.0
+EXCUSE_LEAST = 0.33  # so much of what is out goes on excusing others: an overload puts out an eighth at most
 EJECT_AT_MOST = 0.67  # of the ready servers, so that ejection never empties the fleet
 PROVEN_MS = 2_000.0  # a cold server's own answers are counted over this
 GROWTH = 2.0  # a cold server may get this multiple of what it answers well; at most half of what tips it
@@ -288,11 +289,11 @@
 
         What is ejected counts by the sends that the shortest ejection spares it. Where these are many, an
         overload would put out one server after the other if those that are out excused nothing. Where it is
-        one at most, to be wrong costs that send, and what failed long ago says nothing of now.
+        one at most, to be wrong costs that send, and what failed long ago says little of now.
         """
         known = sum(s.failing for s in self.trouble if s.ejections and s.at >= 0 and s is not server)
         own = server.failing if server.at >= 0 else 0.0
-        known *= 1.0 - min(1.0, EJECT_MS / visit)
+        known *= 1.0 - min(1.0, max(EXCUSE_LEAST, EJECT_MS / visit))
         return max(0.0, self.failing - own - known) / max(1, len(self.ready) - 1)
 
     def _late(self, server: Server) -> bool:
