--- /dev/null
+++ b/quartzford/membership/snapshot.py
@@ -0,0 +1,102 @@
+"""The last list on a lasting disk, so that a balancer can serve before the list service has answered. No I/O.
+
+A snapshot is one line of JSON (format, service, taken_ms, length and SHA-256 of what follows) and the list
+in discovery's form. It is of one service at one address: another's versions mean something else. What may be
+done with one of a given age is `Rule`'s to say; keeper.py writes and reads the file.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+from typing import Any, NamedTuple
+
+FORMAT = 1
+AHEAD_MS = 60_000.0  # clocks of one machine may step back by so much between two starts
+MOST_BYTES = 64 * 1024 * 1024
+
+
+class SnapshotError(ValueError):
+    """A snapshot that can't be used; the text gives the reason."""
+
+
+class Snapshot(NamedTuple):
+    """A list as it was last heard, and when (Unix ms), from which service ("host:port")."""
+
+    service: str
+    taken_ms: float
+    table: dict[str, Any]  # in discovery's form
+
+
+class Rule(NamedTuple):
+    """What a list of what age is good for. Ages in seconds.
+
+    most_age: an older one is not used at all. fresh_age: up to it the list counts as the platform's `known`
+    does, as last heard. Between the two every upstream of it counts as having started when the balancer did:
+    it may have been replaced since, so it is sent what a cold one is sent, until the service has spoken.
+    """
+
+    most_age: float
+    fresh_age: float
+
+    def cold(self, age: float) -> bool:
+        return age > self.fresh_age
+
+
+def encode(one: Snapshot) -> bytes:
+    body = json.dumps(one.table, separators=(",", ":")).encode()
+    head = {
+        "format": FORMAT, "service": one.service, "taken_ms": one.taken_ms, "bytes": len(body),
+        "sha256": hashlib.sha256(body).hexdigest(),
+    }  # fmt: skip
+    return json.dumps(head).encode() + b"\n" + body
+
+
+def decode(data: bytes) -> Snapshot:
+    """SnapshotError names what is wrong: cut off, damaged, of another format."""
+    if len(data) > MOST_BYTES:
+        raise SnapshotError(f"{len(data)} bytes are more than a list has")
+    line, found, body = data.partition(b"\n")
+    try:
+        head = json.loads(line)
+        if not isinstance(head, dict) or not found:
+            raise ValueError
+    except (ValueError, RecursionError):
+        raise SnapshotError("it does not begin with a snapshot's line") from None
+    if head.get("format") != FORMAT:
+        raise SnapshotError(f"format {head.get('format')!r} is not {FORMAT}")
+    if head.get("bytes") != len(body):
+        raise SnapshotError(f"cut off: {len(body)} bytes of {head.get('bytes')!r}")
+    if head.get("sha256") != hashlib.sha256(body).hexdigest():
+        raise SnapshotError("damaged: its digest differs")
+    service, taken = head.get("service"), head.get("taken_ms")
+    if not isinstance(service, str) or isinstance(taken, bool) or not isinstance(taken, int | float):
+        raise SnapshotError("service or taken_ms is missing")
+    if not math.isfinite(taken):
+        raise SnapshotError("taken_ms is not a moment")
+    try:
+        table = json.loads(body)
+    except (ValueError, RecursionError):
+        raise SnapshotError("the list is not JSON") from None
+    if not isinstance(table, dict):
+        raise SnapshotError("the list is not an object")
+    return Snapshot(service, float(taken), table)
+
+
+def usable(one: Snapshot, service: str, now_ms: float, rule: Rule) -> float:
+    """Its age in seconds; SnapshotError where it may not be used."""
+    if one.service != service:
+        raise SnapshotError(f"it is of {one.service}, and the list service is {service}")
+    age = (now_ms - one.taken_ms) / 1000.0
+    if age < -AHEAD_MS / 1000.0:
+        raise SnapshotError(f"it was taken {-age:.0f} s from now: a clock is wrong")
+    if age > rule.most_age:
+        raise SnapshotError(f"it is {age:.0f} s old, over the {rule.most_age:g} allowed")
+    return max(0.0, age)
+
+
+def aged(table: dict[str, Any], born_ms: float) -> dict[str, Any]:
+    """The list with every upstream as if it had started then, where it did not start later."""
+    hosts = [row | {"born_ms": max(born_ms, float(row.get("born_ms") or 0.0))} for row in table["hosts"]]
+    return table | {"hosts": hosts}
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -66,6 +66,10 @@
             call.close()
         self.start()
 
+    def current(self) -> bool:
+        """The list that is held is what the service tells now."""
+        return self.call is not None and self.call.told
+
     def stop(self) -> None:
         self.stopped = True
         if self.timer is not None:
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -26,6 +26,7 @@
 from quartzford.settings.platform import Config, ConfigError
 
 if TYPE_CHECKING:
+    from quartzford.membership.keeper import Keeper
     from quartzford.replacement.state import State
     from quartzford.replacement.succession import Succession
 
@@ -96,6 +97,8 @@
         self._listener: socket.socket | None = None  # the process before's
         self._memory: io.Memory | None = None  # the process before's, until the list is adopted
         self._version: int | None = None  # of its list, where it may be followed from there
+        self.keeper: Keeper | None = None  # of the last list, where there is a lasting disk
+        self._as_kept: Listing | None = None  # the snapshot's list, where another is in force for its age
 
     # ---- start and end
 
@@ -163,6 +166,8 @@
         if self.succession is not None:
             known, self._listener = await self._inherit(self.succession, known)
             inherited = self._memory is not None
+        if self.keeper is not None:
+            known = self._kept(self.keeper, known)
         self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
         self.watch.version = self._version if inherited else known.version
         if self._memory is not None:
@@ -175,6 +180,15 @@
             self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
             await self.told.wait()
 
+    def _kept(self, keeper: Keeper, known: Listing) -> Listing:
+        """The snapshot's list, where it is not older than what the configuration knows."""
+        keeper.confirm()
+        kept = keeper.read()
+        if kept is None or (known.entries and kept.listing.version < known.version):
+            return known
+        self._as_kept = kept.listing if kept.in_force is not kept.listing else None
+        return kept.in_force
+
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
         if self.ending:
@@ -211,6 +225,8 @@
         if quiet or self.clock.now() >= limit:
             self.watch.stop()
             self.operations.stop()
+            if self.keeper is not None:
+                self.keeper.stop()
             if self.succession is not None:
                 self.succession.stop()
             if not self.finished.done():
@@ -292,6 +308,11 @@
     def listed(self, listing: Listing) -> None:
         """Short news at once; long ones in pieces, one a turn of the loop, and later ones behind them."""
         taking = self.news.waiting()
+        as_kept, self._as_kept = self._as_kept, None
+        if (
+            as_kept is not None and not listing.whole
+        ):  # changes to what was kept, not to what its age made of it
+            self.news.put(as_kept if self.subset is None else self.subset.filter(as_kept))
         self.news.put(listing if self.subset is None else self.subset.filter(listing))
         if not taking:
             self._take_in()
@@ -307,6 +328,8 @@
                 self.loop.call_soon(self._take_in)
             else:
                 self.told.set()
+                if self.keeper is not None:
+                    self.keeper.news()
 
     def _adopt(self, listing: Listing, how: str) -> None:
         self.roster.take(listing)
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -10,9 +10,15 @@
 
 from quartzford.decision.columns import load_arrays
 from quartzford.membership.subset import Subset
-from quartzford.node import Node, start_listening
+from quartzford.node import LISTS_PER_S, Node, start_listening
 from quartzford.recording import Recorder
-from quartzford.settings.operatorfile import OperatorError, OperatorSettings, load_operator, takes_restart
+from quartzford.settings.operatorfile import (
+    ListsSettings,
+    OperatorError,
+    OperatorSettings,
+    load_operator,
+    takes_restart,
+)
 from quartzford.settings.platform import Config, ConfigError, load_config
 
 
@@ -33,12 +39,29 @@
         config = load_config(config_path(self.operator, path))
         chosen = self.operator.subset
         subset = Subset(config.name, chosen.size, chosen.per_zone) if chosen is not None else None
-        self.node = Node(config, loop, subset)
+        lists = self.operator.lists
+        self.node = Node(config, loop, subset, lists_per_s=lists.calls_per_s if lists else LISTS_PER_S)
+        if lists is not None and lists.snapshot:
+            self._keep(str(Path(path).parent / lists.snapshot), lists)
         self.recorder = self._recorder(path)
         self.extproc: Any = None
         if self.operator.extproc is not None:
             self.extproc = self._extproc(config)
 
+    def _keep(self, where: str, lists: ListsSettings) -> None:
+        # Only here: installations without a lasting disk don't load it.
+        from quartzford.membership.keeper import Keeper
+        from quartzford.membership.snapshot import Rule
+
+        node = self.node
+        if not Path(where).parent.is_dir():
+            raise OperatorError(f"lists.snapshot: {Path(where).parent} is no folder")
+        rule = Rule(lists.snapshot_age_s, lists.snapshot_fresh_s)
+        node.keeper = Keeper(
+            where, rule, lambda: "{}:{}".format(*node.config.discovery), node.roster.table,
+            node.watch.current, node.clock, node.log, node.loop,
+        )  # fmt: skip
+
     def _recorder(self, path: str) -> Recorder | None:
         settings, node = self.operator.trace, self.node
         if settings is None:
--- a/quartzford/settings/operatorfile.py
+++ b/quartzford/settings/operatorfile.py
@@ -72,6 +72,16 @@
     per_zone: int = 0  # of each zone at least
 
 
+@dataclass(frozen=True, slots=True)
+class ListsSettings:
+    """Section [lists]: a list service that a whole fleet asks. docs/operators/coldstart.md"""
+
+    calls_per_s: float = 50.0  # that it answers
+    snapshot: str = ""  # a file on a lasting disk
+    snapshot_age_s: float = 3_600.0  # an older one is not used
+    snapshot_fresh_s: float = 60.0  # an older one's upstreams are taken for cold at first
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """The whole file. config: the platform-form configuration, unless EDGE_CONFIG names it."""
@@ -80,6 +90,7 @@
     extproc: ExtprocSettings | None = None
     trace: TraceSettings | None = None
     subset: SubsetSettings | None = None
+    lists: ListsSettings | None = None
 
 
 Check = Callable[[str, Any], Any]
@@ -209,15 +220,34 @@
     return SubsetSettings(**table)
 
 
+LISTS: dict[str, Check] = {
+    "calls_per_s": _number(0.01, 1_000_000),
+    "snapshot": _text,
+    "snapshot_age_s": _number(1, 31_536_000),
+    "snapshot_fresh_s": _number(0, 31_536_000),
+}
+
+
+def _lists(key: str, value: Any) -> ListsSettings:
+    settings = ListsSettings(**_table(key, value, LISTS))
+    if settings.snapshot_fresh_s > settings.snapshot_age_s:
+        raise OperatorError(
+            f"{key}.snapshot_fresh_s: {settings.snapshot_fresh_s:g} is over snapshot_age_s, "
+            f"{settings.snapshot_age_s:g}"
+        )
+    return settings
+
+
 def read_operator(text: str) -> OperatorSettings:
     """The settings in a file's text; OperatorError where it can't be used."""
     try:
         table = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise OperatorError(f"not TOML: {error}") from None
-    return OperatorSettings(
-        **_table("", table, {"config": _text, "extproc": _extproc, "trace": _trace, "subset": _subset})
-    )
+    checks: dict[str, Check] = {
+        "config": _text, "extproc": _extproc, "trace": _trace, "subset": _subset, "lists": _lists,
+    }  # fmt: skip
+    return OperatorSettings(**_table("", table, checks))
 
 
 def load_operator(path: str) -> OperatorSettings:
@@ -235,9 +265,11 @@
         for name in ("listen", "workers", "most_streams", "token_key_file"):
             if getattr(old.extproc, name) != getattr(new.extproc, name):
                 return f"extproc.{name}"
-    return next((name for name in ("trace", "subset") if getattr(old, name) != getattr(new, name)), "")
+    parts = ("trace", "subset", "lists")
+    return next((name for name in parts if getattr(old, name) != getattr(new, name)), "")
 
 
 assert {f.name for f in fields(SubsetSettings)} == set(SUBSET)
+assert {f.name for f in fields(ListsSettings)} == set(LISTS)
 assert {f.name for f in fields(TraceSettings)} == set(TRACE)
 assert {f.name for f in fields(ExtprocSettings)} == set(EXTPROC)
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,235 @@
+"""The last list on a disk: its form, what may be done with it at what age, and the file that holds it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from peers import Message, World, request, run, silent, until
+
+from quartzford.membership import keeper as keeping
+from quartzford.membership.keeper import Keeper, replace
+from quartzford.membership.snapshot import (
+    Rule,
+    Snapshot,
+    SnapshotError,
+    aged,
+    decode,
+    encode,
+    usable,
+)
+
+RULE = Rule(most_age=3_600.0, fresh_age=60.0)
+ROW = {"host": "s0", "dial": "127.0.0.1:1", "site": "north", "class": "std", "block": 0, "health": "ready",
+       "share": 1.0, "born_ms": 0}  # fmt: skip
+TABLE: dict[str, Any] = {"seq": 7, "whole": True, "hosts": [ROW, ROW | {"host": "s1", "born_ms": 9_000_000}]}
+ONE = Snapshot("127.0.0.1:8500", 1_000_000.0, TABLE)
+
+
+def test_what_is_written_is_read_again() -> None:
+    assert decode(encode(ONE)) == ONE
+
+
+@given(st.binary(max_size=200))
+def test_bytes_of_any_kind_are_refused_with_a_reason(data: bytes) -> None:
+    with pytest.raises(SnapshotError):
+        decode(data)
+
+
+@pytest.mark.parametrize("keep", [0, 1, 40, 150, -1, -30])
+def test_one_that_is_cut_off_is_refused(keep: int) -> None:
+    with pytest.raises(SnapshotError):
+        decode(encode(ONE)[:keep])
+
+
+def test_every_single_bit_that_turns_is_found_or_changes_nothing_that_is_used() -> None:
+    data = encode(ONE)
+    for at in range(len(data)):
+        for bit in (1, 64):
+            turned = data[:at] + bytes([data[at] ^ bit]) + data[at + 1 :]
+            try:
+                one = decode(turned)
+            except SnapshotError:
+                continue
+            assert one.table == TABLE, "a damaged list was used"
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"format": 2}, "format 2"), ({"bytes": 3}, "cut off"), ({"sha256": "0"}, "damaged"),
+        ({"service": 5}, "missing"), ({"taken_ms": None}, "missing"), ({"taken_ms": True}, "missing"),
+        ({"taken_ms": float("nan")}, "not a moment"),
+    ],
+)  # fmt: skip
+def test_a_head_that_is_wrong_is_refused_with_its_reason(change: dict[str, Any], reason: str) -> None:
+    line, _, body = encode(ONE).partition(b"\n")
+    with pytest.raises(SnapshotError, match=reason):
+        decode(json.dumps(json.loads(line) | change).encode() + b"\n" + body)
+
+
+@pytest.mark.parametrize(
+    ("service", "after_s", "age", "reason"),
+    [
+        ("127.0.0.1:8500", 0.0, 0.0, ""), ("127.0.0.1:8500", 3_600.0, 3_600.0, ""),
+        ("127.0.0.1:8500", -30.0, 0.0, ""), ("127.0.0.1:8500", -61.0, 0.0, "a clock is wrong"),
+        ("127.0.0.1:8500", 3_601.0, 0.0, "3601 s old"), ("127.0.0.1:8501", 1.0, 0.0, "it is of 127.0.0"),
+    ],
+)  # fmt: skip
+def test_ages_and_services(service: str, after_s: float, age: float, reason: str) -> None:
+    now = ONE.taken_ms + after_s * 1000.0
+    if reason:
+        with pytest.raises(SnapshotError, match=reason):
+            usable(ONE, service, now, RULE)
+    else:
+        assert usable(ONE, service, now, RULE) == age
+
+
+def test_past_the_fresh_age_upstreams_count_as_just_started() -> None:
+    assert [RULE.cold(age) for age in (0.0, 60.0, 60.1)] == [False, False, True]
+    assert [row["born_ms"] for row in aged(TABLE, 5_000.0)["hosts"]] == [5_000.0, 9_000_000]
+    assert TABLE["hosts"][0]["born_ms"] == 0
+
+
+def kept(world: World, path: Path, rule: Rule = RULE) -> Keeper:
+    """The node of a world keeps its list there."""
+    node = world.node
+    node.keeper = Keeper(
+        str(path), rule, lambda: "the list", node.roster.table, node.watch.current, node.clock, node.log,
+        node.loop,
+    )  # fmt: skip
+    return node.keeper
+
+
+class Kept(World):
+    """A world whose balancer keeps its list; discovery is silent at its start if so wanted."""
+
+    def __init__(self, path: Path, rule: Rule = RULE, mute: bool = False, **settings: Any) -> None:
+        super().__init__(2, registryMode="subscribe", **settings)
+        self.path, self.rule, self.known = path, rule, {"seq": 0, "whole": True, "hosts": []}
+        if mute:
+            self.discovery.script = silent
+
+    async def enter(self, heard: bool = True, listener: Any = None) -> None:
+        begin = keeping_node(self)
+        try:
+            await super().enter(heard and self.discovery.script is not silent, listener)
+        finally:
+            begin()
+
+
+def keeping_node(world: Kept) -> Any:
+    """Nodes that are made from now on keep their list; the way back."""
+    from quartzford import node as module
+
+    start = module.Node.start
+
+    async def started(self: Any) -> None:
+        world.node = self
+        if self.keeper is None:
+            kept(world, world.path, world.rule)
+        await start(self)
+
+    module.Node.start = started  # type: ignore[method-assign]
+
+    def back() -> None:
+        module.Node.start = start  # type: ignore[method-assign]
+
+    return back
+
+
+def test_a_list_is_kept_and_serves_the_next_start_while_the_service_is_silent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(keeping, "EVERY_S", 0.02)
+    path = tmp_path / "last"
+
+    @run
+    async def test() -> None:
+        first = Kept(path)
+        async with first:
+            await until(path.exists)
+        held = decode(path.read_bytes())
+        assert {row["host"] for row in held.table["hosts"]} == {"s0", "s1"}
+        second = Kept(path, mute=True)
+        # The next life's upstreams are where the first one's were.
+        for old, new in zip(first.ups, second.ups, strict=True):
+            await new.start(old.port)
+            new.start = still  # type: ignore[method-assign]
+        async with second:
+            assert second.node.ready() and not second.node.watch.heard
+            assert (await second.ask(request())).status == 200
+
+    test()
+
+
+async def still(port: int = 0) -> None:
+    """It is up already."""
+
+
+def test_an_old_list_sends_little_until_the_service_has_spoken(tmp_path: Path) -> None:
+    """Changes to the kept list are told; what its age made of the upstreams is forgotten with them."""
+    path = tmp_path / "last"
+    rule = Rule(3_600.0, 0.0)  # any age is past the fresh one
+
+    @run
+    async def test() -> None:
+        world = Kept(path, rule, mute=True)
+        for up in world.ups:
+            await up.start()
+            up.start = still  # type: ignore[method-assign]
+        table = world.list(world.host(0), world.host(1))
+        replace(str(path), Snapshot("the list", time.time() * 1000.0 - 5_000.0, table))
+
+        async with world:
+            fleet = world.node.engine.balancer.fleet
+            assert len(fleet.ready) == 2 and len(fleet.cold) == 2
+
+            async def speaks(message: Message, writer: asyncio.StreamWriter) -> None:
+                assert "index=1" in message.line
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                world.watches.append(writer)
+                world.tell({"seq": 2, "whole": False, "hosts": [world.host(1, "draining")]}, writer)
+
+            world.discovery.script = speaks
+            for writer in world.discovery.writers:
+                writer.transport.abort()
+            await until(lambda: len(fleet.ready) == 1)
+            assert (await world.ask(request())).status == 200
+            assert not fleet.cold and fleet.ready[0].entry.server == "s0"
+
+    test()
+
+
+@pytest.mark.parametrize("how", ["no folder", "garbage", "a folder"])
+def test_a_disk_that_fails_costs_a_line_and_not_the_service(
+    how: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(keeping, "EVERY_S", 0.02)
+    path = tmp_path / "last"
+    if how == "no folder":
+        path = tmp_path / "missing" / "last"
+    elif how == "garbage":
+        path.write_bytes(b"not a list")
+    else:
+        path.mkdir()
+
+    @run
+    async def test() -> None:
+        world = Kept(path)
+        async with world:
+            assert (await world.ask(request())).status == 200
+            keeper = world.node.keeper
+            assert keeper is not None
+            await until(lambda: keeper.failed or keeper.written)
+            assert bool(keeper.written) == (how == "garbage")
+
+    test()
+    assert ("is not used" in capsys.readouterr().err) == (how == "garbage")
+    assert not list(tmp_path.glob("last.*"))
