--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -267,7 +267,8 @@
     stranger = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
     code = (
         "from rig.scenario import Scenario, play\n"
-        "import sys\n"
+        "import signal, sys\n"
+        "signal.signal(signal.SIGINT, signal.default_int_handler)\n"  # it may be ignored where tests run
         "play(Scenario(balancers=3, nodos={'nodos': 2}, rate=5, seconds=60), sys.stdout)\n"
     )
     rig = subprocess.Popen(
