Cold start with lists of ten thousand rows; the platform's run is shown to load no extras

Need: bytes count beside calls where a fleet asks for long lists, and what a start loads is part of its cost.

Change: the rig pads a list, the stand-in service keeps the whole list's text; bench.coldstart has the case.

--- a/bench/callmodel.py
+++ b/bench/callmodel.py
@@ -1,6 +1,6 @@
 """Calls of a whole fleet to one list service, on a virtual clock: policies of calls side by side.
 
-    python -m bench.callmodel [--quick] [--json FILE] [--chart FILE]
+    python -m bench.callmodel [--quick] [--json FILE]
 
 The policy in force is the real one (quartzford/membership/calls.py); what was weighed against it stands here.
 All else is a model:
--- a/bench/coldstart.py
+++ b/bench/coldstart.py
@@ -2,9 +2,9 @@
 
 Released together, 12 to 200 balancers ask one stand-in list service that works through fifty calls a second:
 it queues (and works on for callers who have left), turns away what would wait for over a second, is down for
-8 or 30 s first, trickles, or everything is cold at once: balancers, upstreams and the service. Before is the
-program at a revision out of the history, from before it had a policy of calls; both in one run. The
-rules are judged over the books of clients and nodos. Exit 0 only if all held for the code as it is.
+8 or 30 s first, trickles, has ten thousand rows to tell, or everything is cold at once. Before is the program
+at a revision out of the history, from before it had a policy of calls; both in one run. The rules are judged
+over the books of clients and nodos. Exit 0 only if all held for the code as it is.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 
 OLD = "ccccbc8eb39b751354c417b9810609cb8d9f79f8"
 PER_S, NODOS = 50.0, 20
+ROW_BYTES, BYTES_PER_S = 145, 50e6
 
 
 class Case(NamedTuple):
@@ -32,6 +33,7 @@
     down_s: float = 0.0
     late_s: float = 0.0  # that its answers take besides
     cold: bool = False
+    padding: int = 0
 
 
 CASES = (
@@ -41,18 +43,19 @@
     Case("down 30 s", {"line": "queues", "downs": [[0, 30]]}, 30.0),
     Case("trickles", {"line": "queues", "trickle": 2.0}, 0.0, 2.0),
     Case("all cold", {"line": "queues", "downs": [[0, 2]]}, 2.0, 0.0, True),
+    Case("10,000 rows", {"line": "queues"}, padding=10_000),
 )
 
 
 def run(case: Case, balancers: int, folder: Path, old: bool, watch_s: float) -> dict[str, Any]:
     """One release; the figures that the page shows."""
-    turn = balancers / PER_S
+    turn = balancers * (1.0 / PER_S + case.padding * ROW_BYTES / BYTES_PER_S)
     seconds = case.down_s + case.late_s + max(6.0, 1.25 * turn + 4.0, watch_s)
     rate = min(400.0, 3.0 * balancers)
     nodos = {"nodos": NODOS, "capacity": 150.0, "connect_s": 0.001}
     result = play(Scenario(
         balancers=balancers, service={"per_s": PER_S} | case.service, nodos=nodos, rate=rate, seconds=seconds,
-        cold=case.cold, checkout=folder if old else ROOT, automatic=old,
+        cold=case.cold, padding=case.padding, checkout=folder if old else ROOT, automatic=old,
     ))  # fmt: skip
     calls, down = result["calls_s"], case.down_s
     times = sorted(at for at in result["taken_in_s"] if at is not None)
@@ -66,6 +69,7 @@
         "most_1s": result["most_1s"], "most_100ms": result["most_100ms"], "for_nobody": result["for_nobody"],
         "turned_away": result["turned_away"], "goodput": round(result["goodput"]["whole"], 3),
         "cold_multiple": result["cold"]["worst_multiple"], "memory_mb": result["memory_mb"],
+        "mb": round(result["bytes"] / 1e6, 1),
         "rules": {name: count for name, count in result["rules"].items() if count},
         "kept": result["kept"], "crashes": result["crashes"], "calls_s": calls, "times_s": times,
         "goodput_s": [row["goodput"] for row in result["seconds"]],
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -64,6 +64,7 @@
     weights: float = 0.0
     names: str = "own"  # or "one": all have the same name, and the same seed
     operator: str = ""
+    padding: int = 0  # further rows of the list, of upstreams that drain and are not there
 
 
 @dataclass(frozen=True)
@@ -143,10 +144,16 @@
             plan["fresh"] = plan.get("nodos", 12)
         self.nodos = self._helper("standins.fleet", json.dumps(plan))
         told = json.loads(self.nodos.stdout.readline())
-        self.nodos_port, self.hosts = told["port"], told["list"]["hosts"]
+        self.nodos_port = told["port"]
+        self.hosts: list[dict[str, Any]] = told["list"]["hosts"]
         self.service = self._helper("standins.listservice", json.dumps(scenario.service))
         self.service_port = json.loads(self.service.stdout.readline())["port"]
-        self._tell(self.service, {"hosts": self.hosts})
+        self._tell(self.service, {"hosts": self._rows()})
+
+    def _rows(self) -> list[dict[str, Any]]:
+        """The list as the service has it."""
+        ghost = self.hosts[0] | {"health": "draining"}
+        return self.hosts + [ghost | {"host": f"ghost{n}"} for n in range(self.scenario.padding)]
 
     @staticmethod
     def _tell(process: Any, what: dict[str, Any]) -> None:
@@ -219,7 +226,7 @@
             self.nodos.stdin.write(b"go\n")
             self.nodos.stdin.flush()
             self.hosts = self._reborn()
-            self._tell(self.service, {"hosts": self.hosts})
+            self._tell(self.service, {"hosts": self._rows()})
         for process in (self.service, self.relay, self.clients):
             self._tell(process, {"begin": begin})
         time.sleep(max(0.0, begin - time.monotonic()))
--- a/standins/listservice.py
+++ b/standins/listservice.py
@@ -74,7 +74,7 @@
         self.book: list[list[Any]] = []  # when, who, what was asked: whole or changes
         self.answers: list[list[Any]] = []  # when, who, how: answered, turned away, for nobody
         self.bytes = 0
-        self.told: dict[str, float] = {}  # host: when it was first told to a watch as draining or gone
+        self.whole: tuple[int, bytes] = 0, b""  # the whole list's text, and of which version
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -129,13 +129,14 @@
 
     def text(self, since: int | None) -> bytes:
         """The whole list, or what changed after a version."""
-        whole = since is None or since <= 0 or since > self.version or self.plan.always_whole
-        if whole:
-            rows = list(self.rows.values())
-        else:
-            assert since is not None
-            rows = [row for name, row in self.rows.items() if self.changed[name] > since]
-            rows += [row for at, row in self.gone.values() if at > since]
+        if since is None or since <= 0 or since > self.version or self.plan.always_whole:
+            if self.whole[0] != self.version:
+                self.whole = self.version, self._text(True, list(self.rows.values()))
+            return self.whole[1]
+        rows = [row for name, row in self.rows.items() if self.changed[name] > since]
+        return self._text(False, rows + [row for at, row in self.gone.values() if at > since])
+
+    def _text(self, whole: bool, rows: list[dict[str, Any]]) -> bytes:
         return json.dumps({"seq": self.version, "whole": whole, "hosts": rows}).encode() + b"\n"
 
     def tell(self, watch: Caller, since: int | None) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -73,8 +73,6 @@
         world = World(Plan(16, 12, "cold start", 11.0, seed, rate=0.3)).run()
         found = world.result()
         assert not found["fallen"] and not found["broken"] and found["cold_multiple"] <= TIP
-        late, soon = (
-            sum(world.got[7:10]) / sum(world.offered[7:10]),
-            sum(world.got[:4]) / sum(world.offered[:4]),
-        )
+        late = sum(world.got[7:10]) / sum(world.offered[7:10])
+        soon = sum(world.got[:4]) / sum(world.offered[:4])
         assert late > 0.3 and late > 2 * soon
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ast
+import subprocess
+import sys
 from pathlib import Path
 
 PACKAGE = Path(__file__).resolve().parent.parent / "quartzford"
@@ -69,14 +71,30 @@
     pure = ("decision/logic.py", "decision/interface.py", "decision/eligibility.py",
             "decision/admission.py", "decision/memory.py", "decision/estimates.py", "engine/figures.py",
             "replacement/phases.py", "replacement/state.py", "backends/caller.py",
-            "protocols/http2.py", "protocols/onecall.py", "membership/roster.py", "load/shapes.py",
-            "load/clients.py", "load/trace.py", "load/record.py",
+            "protocols/http2.py", "protocols/onecall.py", "membership/roster.py",
+            "membership/calls.py", "membership/snapshot.py", "load/shapes.py", "load/clients.py",
+            "load/trace.py", "load/record.py",
             *(f"fronts/extproc/{n}.py" for n in ("desk", "intake", "outcome", "token")))  # fmt: skip
     for name in pure:
         tops = {n.split(".")[0] for n in imports(PACKAGE / name)}
         assert not tops & {"asyncio", "socket", "time", "os", "ssl", "uvloop", "subprocess"}, name
 
 
+def test_the_program_knows_neither_the_rig_nor_benches_and_the_platforms_run_no_extras() -> None:
+    """Stand-ins are named by the demo alone."""
+    for path in PACKAGE.rglob("*.py"):
+        tops = {name.split(".")[0] for name in imports(path)}
+        assert not tops & {"rig", "bench", "tests"}, path.name
+        assert "standins" not in tops or path.name == "demo.py", path.name
+    eager = "import sys, quartzford.__main__ as m; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", eager], cwd=PACKAGE.parent, capture_output=True, check=True
+    )
+    extras = {"numpy", "msgspec", "email", "quartzford.membership.keeper", "quartzford.membership.snapshot",
+              "quartzford.counting", "quartzford.serve", "quartzford.replacement.succession"}  # fmt: skip
+    assert not extras & set(loaded.stdout.decode().split())
+
+
 def test_fronts_and_backends_do_not_know_each_other() -> None:
     for side, other in (("fronts", "backends"), ("backends", "fronts")):
         for path in (PACKAGE / side).rglob("*.py"):
