--- a/rig/relay.py
+++ b/rig/relay.py
@@ -6,6 +6,9 @@
 prints {"ports": [...]} in the order of the links. A second line {"begin": T} is the release, on the machine's
 monotonic clock; before it nothing fails. The target of a link may be told later: {"targets": {"3": [h, p]}}.
 
+{"counts": 1} asks what was done: counts, and when each connection came by which link, also where nobody was
+reached behind it.
+
 A cut holds a stream's bytes back, as retransmission does, and lets them pass when it ends; new connections
 hang. Datagrams are dropped.
 """
@@ -40,6 +43,7 @@
         self.pipes: set[Pipe] = set()
         self.posts: dict[Link, Post] = {}
         self.counts: Counter[str] = Counter()
+        self.taken: list[list[float]] = []  # of each connection: when, and of which link
         self.loop = asyncio.get_running_loop()
 
     def now(self) -> float:
@@ -110,6 +114,7 @@
         """
         how = self.relay.script.opens(self.link, self.relay.now())
         self.relay.counts[how] += 1
+        self.relay.taken.append([monotonic(), self.number])
         if how == "refused":
             return self.abort()
         self.hanging = how == "hangs"
@@ -290,7 +295,7 @@
         if "begin" in told:
             relay.begin(told["begin"])
         if "counts" in told:
-            print(json.dumps(relay.counts), flush=True)
+            print(json.dumps({"counts": relay.counts, "taken": relay.taken}), flush=True)
 
 
 def main() -> int:
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import urllib.request
+from collections import Counter
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -104,6 +105,7 @@
         self.events = read_events(scenario.events, self.groups)
         self.began = 0.0
         self.done: list[dict[str, Any]] = []
+        self.taken: list[list[float]] = []  # connections through the relays: when, and by which link
         self.kills: list[tuple[int, float]] = []  # who was killed outright, and when
         self.stack = ExitStack()
 
@@ -129,6 +131,8 @@
                 self._carry_out()
                 told = json.loads(self.clients.stdout.readline() or b"{}")
                 memory = max((one.resident_mb() for one in self.processes.members), default=0.0)
+                self._tell(self.relay, {"counts": 1})
+                self.taken = json.loads(self.relay.stdout.readline())["taken"]
                 books = self._fetch(self.nodos_port)
                 service = self._fetch(self.service_port)
                 crashes = self.processes.crashes()
@@ -324,10 +328,10 @@
         killed = self._killed(told["lost"])
         tries = [(i, name, "killed" if end == LOST and i in killed else end) for i, name, end in told["book"]]
         verdict = judge(books, tries, BRIEF, told["twice"])
-        calls = sorted(row[0] - self.began for row in service.get("calls", ()))
-        per: dict[str, int] = {}
-        for _, who, _ in service.get("calls", ()):
-            per[who] = per.get(who, 0) + 1
+        # Calls that found nobody are in the relays' book alone, those past the relays in the service's.
+        direct = [row for row in service.get("calls", ()) if row[1] == "127.0.0.1"]
+        calls = sorted(row[0] - self.began for row in [*self.taken, *direct])
+        per = Counter(number for _, number in self.taken)
         answers = service.get("answers", ())
         times = [at for at in told["taken_in_s"] if at is not None]
         return {
