Working set: where traffic is thin a balancer uses as many upstreams as it meets often

No line is wrong by itself: eligibility.py let every listed server join.

Change: decision/workingset.py; a balancer uses the first cells of an order of its own that hold as many servers as its traffic meets in 1.5 s, sixteen at least; all of the list where traffic is dense, as before. Ejected ones are replaced beside it.

--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -15,6 +15,7 @@
 from quartzford.decision import interface as io
 from quartzford.decision.automaton import Place, Query, Shares
 from quartzford.decision.estimates import Due, Rate
+from quartzford.decision.workingset import WorkingSet
 
 ZONE_COST = 50.0
 FAIL_WEIGHT = 0.4
@@ -25,6 +26,7 @@
 EJECT_AT_MOST = 0.67  # of the ready servers, so that ejection never empties the fleet
 PROVEN_MS = 2_000.0  # a cold server's own answers are counted over this
 GROWTH = 2.0  # a cold server may get this multiple of what it answers well; at most half of what tips it
+SETTLE_MS = 200.0  # how often it is looked at again which servers are in use
 QUIET, QUIET_OPEN = 2.0, 3  # suspect: nothing answered for so many usual latencies, with so many out
 
 
@@ -42,7 +44,7 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """A server of the list and what this balancer has seen of it. at: its slot while it is ready, else -1."""
+    """A server of the list, and what this balancer has seen of it. at: its slot while in use, else -1."""
 
     entry: io.Entry
     fleet: Fleet
@@ -76,10 +78,12 @@
 class Fleet:
     """The servers of the list, and the choice among those that are ready."""
 
-    def __init__(self, settings: io.Settings, rng: random.Random) -> None:
+    def __init__(self, settings: io.Settings, rng: random.Random, salt: int = 0) -> None:
         self.rng = rng
         self.servers: dict[str, Server] = {}
-        self.ready: list[Server] = []  # by slot
+        self.ready: list[Server] = []  # those in use, by slot
+        self.working = WorkingSet(salt)
+        self.settled_ms = -math.inf
         self.shares: Shares = automaton.PlainShares()
         self.fit = automaton.fitting  # lists or arrays
         self.zones: dict[str, int] = {}
@@ -122,9 +126,52 @@
                 self._remove(name)
         for entry in entries:
             self._entry(entry)
+        self._choose()
         self._commit()
         self.shares = self.fit(self.shares, len(self.ready))
 
+    def settle(self, at_once: bool = False) -> None:
+        """Look again at which servers are in use, now and then or at once."""
+        if at_once or self.now >= self.settled_ms + SETTLE_MS:
+            self.settled_ms = self.now
+            self.shares.begin()
+            if self._choose():
+                self._commit()
+                self.shares = self.fit(self.shares, len(self.ready))
+
+    def _choose(self) -> bool:
+        """Take cells into use, or leave some; between begin and commit. Whether any."""
+        wanted = self.working.wanted(self.arrivals.read(self.now))
+        taken, left = self.working.choose(wanted, self._able)
+        for cell in taken:
+            self.take(cell)
+        for name in (name for cell in left for name in self.working.cells[cell]):
+            self._leave(self.servers[name])
+        if taken or left:
+            self.units = None
+        return bool(taken or left)
+
+    def take(self, cell: int) -> None:
+        """Use a cell's servers; between begin and commit."""
+        self.working.used.add(cell)
+        for name in self.working.cells.get(cell, ()):
+            if self.servers[name].at < 0:
+                self._join(self.servers[name])
+
+    def use(self, names: list[str]) -> None:
+        """Those that the process before used, so far as they may be."""
+        cells = {self.working.cell_of[name] for name in names if name in self.working.cell_of}
+        self.shares = self.fit(self.shares, len(self.ready) + len(names))
+        self.shares.begin()
+        self.units = None
+        for cell in cells - self.working.used:
+            self.take(cell)
+        self._commit()
+
+    def _able(self, name: str) -> bool:
+        """Not ejected. Cold ones count: to do without them takes what nobody here knows yet, all at once."""
+        return self.now >= self.servers[name].ejected_until
+
     def _commit(self) -> None:
         first = self.shares.commit()
         if first >= 0:
@@ -145,10 +192,12 @@
             server = self.servers[entry.server] = Server(entry, self)
         held_entry, server.entry = server.entry, entry
         if entry.state != "ready" or entry.server in self.by_hand:
+            self._bar(server)
+        elif self.working.cell_of.get(entry.server) != entry.cell:
             self._leave(server)
-        elif server.at < 0:
-            self._join(server)
-        elif entry != held_entry:
+            if self.working.put(entry.server, entry.cell):
+                self._join(server)
+        elif server.at >= 0 and entry != held_entry:
             self.shares.move(server.at, self._place(entry))
             server.cold_from = max(entry.started_ms, self.back.get(entry.server, 0.0))
             self.cold[server] = None
@@ -171,10 +220,15 @@
             server.at = -1
             self.cold.pop(server, None)
 
+    def _bar(self, server: Server) -> None:
+        """It takes nothing new, whatever its cell does."""
+        self.working.drop(server.entry.server)
+        self._leave(server)
+
     def _remove(self, name: str) -> None:
         server = self.servers.pop(name, None)
         if server is not None:
-            self._leave(server)
+            self._bar(server)
             self.trouble.pop(server, None)
             self.late.pop(server, None)
             self.mute.pop(server, None)
@@ -189,14 +243,16 @@
         if out:
             self.by_hand.add(name)
             if server is not None:
-                self._leave(server)
+                self._bar(server)
         else:
             self.by_hand.discard(name)
             since = self.now - self.settings.rules.cold_ms
             self.back = {n: at for n, at in self.back.items() if at > since}
             self.back[name] = self.now
-            if server is not None and server.entry.state == "ready" and server.at < 0:
+            may = server is not None and server.entry.state == "ready" and server.at < 0
+            if server is not None and may and self.working.put(name, server.entry.cell):
                 self._join(server)
+        self._choose()
         self._commit()
 
     def avoided(self) -> int:
@@ -278,6 +334,7 @@
                 span = min(most, least * 2**server.ejections)
                 server.ejected_until = now + span * self.rng.uniform(0.75, 1.25)
                 server.ejections += 1
+                self.settle(at_once=True)
 
     def blame(self, server: Server, failing: float) -> None:
         if server.at >= 0:
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -52,7 +52,7 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.fleet = Fleet(settings, self.rng)
+        self.fleet = Fleet(settings, self.rng, seed)
         self.admission = Admission(settings, self.rng)
         self.configure(settings)
         self.now = 0.0
@@ -248,6 +248,7 @@
 
     def _request(self, request: io.Request) -> None:
         self.fleet.arrivals.add(self.now)
+        self.fleet.settle()
         self.retry_budget = min(10.0, self.retry_budget + RETRY_SHARE)
         kind = self.classes.get(request.service_class)
         if kind is None:
--- a/quartzford/decision/memory.py
+++ b/quartzford/decision/memory.py
@@ -60,6 +60,7 @@
     fleet.back.update(memory.back)
     for name in memory.by_hand:
         fleet.hand(name, True)
+    fleet.use([told.name for told in memory.servers])
     rows = {}
     for told in memory.servers:
         server = fleet.servers.get(told.name)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -58,6 +58,14 @@
     return balancer
 
 
+def met_often(balancer: Balancer) -> Balancer:
+    """The same with all servers in use, however thin its traffic: for rules that are not about which are."""
+    balancer.fleet.working.meet_ms = float("inf")
+    balancer.fleet.arrivals.add(0.0)
+    balancer.fleet.settle(at_once=True)
+    return balancer
+
+
 def reported(server: Server) -> float:
     """The load that it last told of; 0 if it is not ready."""
     return float(server.fleet.shares.report[server.at]) if server.at >= 0 else 0.0
