--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -226,6 +226,9 @@
 
     def _release(self) -> None:
         begin = time.monotonic() + SETTLE_S
+        if self.scenario.nodos.get("trouble"):  # its times count from here, a moment before the release
+            self.nodos.stdin.write(b"go\n")
+            self.nodos.stdin.flush()
         if self.scenario.cold:
             self.nodos.stdin.write(b"go\n")
             self.nodos.stdin.flush()
@@ -323,6 +326,11 @@
             if any(one == where and made < at < ended < at + KILLED_S for one, at in self.kills)
         }  # fmt: skip
 
+    def _by_second(self, rows: list[Any]) -> list[int]:
+        """What an upstream was sent in each second from the release on."""
+        counts = Counter(int(row[0] - self.began) for row in rows)
+        return [counts[second] for second in range(int(self.scenario.seconds))]
+
     def _result(
         self, told: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
     ) -> dict[str, Any]:
@@ -348,6 +356,7 @@
             "turned_away": sum(row[2] == "turned away" for row in answers),
             "bytes": service.get("bytes", 0), "ends": told["ends"], "latency_ms": told["latency_ms"],
             "late_ms": told["late_ms"], "goodput": told["goodput"], "seconds": told["seconds"],
+            "sends": {name: self._by_second(rows) for name, rows in books["arrivals"].items()},
             "rules": verdict["rules"], "kept": verdict["kept"] and not crashes, "cold": verdict["cold"],
             "crashes": crashes[:10], "memory_mb": round(memory, 1), "done": self.done,
         }  # fmt: skip
