Admission at a start: what is shed may grow from nothing over the first second

One balancer's counts by the quarter second: its first ten attempts, sent while its connections and its own code come up, time out; late 0.82 of ten ends, so shed 0.95; 454 refusals until 1.5 s, and clients that come again keep the share up. The other one saw one late end less and shed nothing. Checked: the upstreams answered all others in time; ejections and suspects 0 to 1; the forecast is silent in that second by its own rule. At fault: the last line of Admission._settle, which took the first ends for a fact at once.

Change: the bound on the share (0.95) grows from nothing over START_MS from the first attempt on. A process that follows in a replacement knows what was learnt and has no such start. Servers that are not in use count among those that are avoided (/status/metrics).

--- a/quartzford/decision/admission.py
+++ b/quartzford/decision/admission.py
@@ -20,7 +20,8 @@
 
 LATE_FROM = 0.9  # share of the aim from which an attempt counts as late
 LATE_TARGET = 0.4  # share of late attempts that is borne if what would be refused is worth the average
-START_MS = 1_000.0  # nothing is foretold for so long
+START_MS = 1_000.0  # nothing is foretold for so long; and the most that is shed grows from nothing over it
+SHED_MOST = 0.95
 RELEASE = 0.1  # let in by so much more than what came back in time
 HEADROOM = 0.5  # and up to this more where nothing at all is late, or will be
 GUESS = 1.0  # good ends that are taken for granted, so that of few requests one late one sheds little
@@ -141,4 +142,6 @@
         let_in = (self.ends + GUESS) / (self.ends + self.refused + GUESS)
         late = max(self.late, self.foreseen(*self.latency))
         headroom = HEADROOM * max(0.0, 1.0 - late / (LATE_TARGET * self.marginal))
-        self.shed = min(0.95, max(0.0, 1.0 - let_in * (bear * (1.0 - late) + headroom)))
+        # Ten late ends are all that is known just after a start, and as often the start's own as a crowd's.
+        most = SHED_MOST * min(1.0, (now - self.began) / START_MS)
+        self.shed = max(0.0, min(most, 1.0 - let_in * (bear * (1.0 - late) + headroom)))
--- a/quartzford/decision/eligibility.py
+++ b/quartzford/decision/eligibility.py
@@ -256,8 +256,9 @@
         self._commit()
 
     def avoided(self) -> int:
-        """Servers of the list that are out by hand, ejected or suspect."""
+        """Servers of the list that are out by hand, not in use, ejected or suspect."""
         out = {name for name in self.by_hand if name in self.servers}
+        out |= {name for name in self.working.cell_of if self.servers[name].at < 0}
         out |= {s.entry.server for s in self.trouble if s.at >= 0 and self.now < s.ejected_until}
         return len(out | {s.entry.server for s in (*self.late, *self.mute) if self.suspect(s)})
 
--- a/quartzford/decision/memory.py
+++ b/quartzford/decision/memory.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from quartzford.decision import interface as io
-from quartzford.decision.admission import Admission
+from quartzford.decision.admission import START_MS, Admission
 from quartzford.decision.eligibility import EJECT_ABOVE, EJECT_MS, Fleet, Server
 from quartzford.decision.estimates import Peaks, Rate
 
@@ -93,6 +93,8 @@
     admission.ends, admission.good, admission.refused = memory.ends, memory.good, memory.refused
     admission.shed, admission.marginal = memory.shed, memory.marginal
     admission.shed_ms = min(memory.shed_ms, now)
+    if memory.ends > 0:
+        admission.began = now - START_MS  # it is no start for what was learnt
     admission.offers.extend(offer for offer in memory.offers if offer[1] in balancer.classes)
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -11,6 +11,7 @@
 from pytest import approx
 
 from quartzford.decision import interface as io
+from quartzford.decision.admission import Admission
 from quartzford.decision.eligibility import FAIL_WEIGHT
 from quartzford.decision.logic import Balancer
 
@@ -503,3 +504,32 @@
                 out += sum(now < server.ejected_until for server in balancer.ready)
                 looks += servers
     assert out < 0.15 * looks
+
+
+def shed_after(start_ms: float, until_ms: float, late_until_ms: float, learnt: bool = False) -> Admission:
+    """One end each 5 ms from a start on, late until some moment; the shares that were shed are in shown."""
+    admission = Admission(settings(), random.Random(1))
+    if learnt:
+        admission.began = start_ms - 1_000.0
+    now = start_ms
+    while now < until_ms:
+        admission.out(now, 8, answered=True)
+        admission.pace(now, now < late_until_ms, 50.0, 200.0)
+        now += 5.0
+    return admission
+
+
+@pytest.mark.parametrize(
+    ("until_ms", "late_until_ms", "learnt", "least", "most"),
+    [
+        (100.0, 100.0, False, 0.0, 0.11),  # twenty late ends right after a start: its own, or a crowd's
+        (600.0, 100.0, False, 0.0, 0.01),  # and then all is well: soon forgotten
+        (600.0, 600.0, False, 0.4, 0.6),  # an overload at a start is borne for a moment,
+        (1_200.0, 1_200.0, False, 0.9, 0.95),  # and no longer
+        (100.0, 100.0, True, 0.6, 0.95),  # one that follows a process knows what was learnt
+    ],
+)
+def test_what_is_shed_at_a_start_grows_with_what_can_be_known(
+    until_ms: float, late_until_ms: float, learnt: bool, least: float, most: float
+) -> None:
+    assert least <= shed_after(0.0, until_ms, late_until_ms, learnt).shed <= most
