bench.coldstart: the model beside each release, and a third of the balancers stopped for ten seconds

Need: the issue asks for model and rig side by side at sizes that both can run, and for a SIGSTOP of ten seconds across the release.

--- a/bench/coldstart.py
+++ b/bench/coldstart.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from bench.callmodel import TROUBLES, Model
 from bench.common import checkout, report
 from rig.processes import ROOT
 from rig.scenario import Scenario, TooManyError, play
@@ -34,6 +35,7 @@
     late_s: float = 0.0  # that its answers take besides
     cold: bool = False
     padding: int = 0
+    stopped: bool = False  # a third of the balancers by SIGSTOP, from the release until down_s
 
 
 CASES = (
@@ -44,18 +46,31 @@
     Case("trickles", {"line": "queues", "trickle": 2.0}, 0.0, 2.0),
     Case("all cold", {"line": "queues", "downs": [[0, 2]]}, 2.0, 0.0, True),
     Case("10,000 rows", {"line": "queues"}, padding=10_000),
+    Case("a third stopped 10 s", {"line": "turns away"}, 10.0, stopped=True),
 )
 
 
+def modelled(case: Case, balancers: int, policy: str) -> dict[str, Any]:
+    """The same release in bench.callmodel, where it knows such a service."""
+    trouble = next((one for one in TROUBLES if one.name == case.name), None)
+    if trouble is None:
+        return {}
+    told = Model(policy, trouble, balancers, until=case.down_s + 45.0).run()
+    return {name: told[name] for name in ("served", "all_after_s", "calls", "most_1s")}
+
+
 def run(case: Case, balancers: int, folder: Path, old: bool, watch_s: float) -> dict[str, Any]:
     """One release; the figures that the page shows."""
     turn = balancers * (1.0 / PER_S + case.padding * ROW_BYTES / BYTES_PER_S)
     seconds = case.down_s + case.late_s + max(6.0, 1.25 * turn + 4.0, watch_s)
     rate = min(400.0, 3.0 * balancers)
+    third = f"nodes[:{max(1, balancers // 3)}]"
+    events = f"0 stop {third}\n{case.down_s:g} cont {third}" if case.stopped else ""
     nodos = {"nodos": NODOS, "capacity": 150.0, "connect_s": 0.001}
     result = play(Scenario(
         balancers=balancers, service={"per_s": PER_S} | case.service, nodos=nodos, rate=rate, seconds=seconds,
         cold=case.cold, padding=case.padding, checkout=folder if old else ROOT, automatic=old,
+        events=events,
     ))  # fmt: skip
     calls, down = result["calls_s"], case.down_s
     times = sorted(at for at in result["taken_in_s"] if at is not None)
@@ -73,6 +88,7 @@
         "rules": {name: count for name, count in result["rules"].items() if count},
         "kept": result["kept"], "crashes": result["crashes"], "calls_s": calls, "times_s": times,
         "goodput_s": [row["goodput"] for row in result["seconds"]],
+        "model": modelled(case, balancers, "before" if old else "lap"),
     }  # fmt: skip
 
 
