--- a/tests/test_workingset.py
+++ b/tests/test_workingset.py
@@ -122,6 +122,9 @@
             == {n for n, s in fleet.servers.items() if s.at >= 0}
         )
         assert all(fleet.ready[s.at] is s for s in fleet.ready)
+        assert fleet.avoided() >= len(usable - used) + len(
+            fleet.by_hand & set(fleet.servers)
+        )  # as operators see it
         assert sum(map(float, fleet.shares.p)) == pytest.approx(1.0 if used else 0.0)
 
 
