Calls for the list: a change is acted on within 6 s, whatever went before

Seen on sockets with the code before: asked lists told after 6.9 to 16.8 s (accepted and silent, blank bytes, half a line, head alone, Retry-After), pushed ones for as long as bytes dripped in; an object over several lines counted as a bad line. Ruled out: connects that hang, resets, a move by SIGHUP with a call out (within 6 s before, too). Lines: any byte restarted SILENCE_S (watch.py, data_received); Shared.patience up to 60 s, laps stretched 16 times, Retry-After to askEvery (calls.py). Change: one bound from the beginning of a call to the answer of the next; only whole lines are signs of life; an accepted call that is late stands on beside the next one, else a service that works on for who has left collapses (32 of 200 in the model); agents are left unasked for 0.4 of the drain's grace. Tests replaced: patience that grew to a minute, Retry-After up to askEvery, first calls over a lap longer than the bound, as the new term rules them out; the table over 1, 16, 200, 1,000 balancers and eleven cases on sockets stand for them.

--- a/bench/callmodel.py
+++ b/bench/callmodel.py
@@ -32,6 +32,8 @@
 from quartzford.membership.calls import Agent, Calls, End, Shared, backoff
 
 PER_S, ASK_S, START_S, TURN_S = 50.0, 10.0, 0.5, 1.0
+GRACE_S = 2.5  # so that what asks alone waits up to a second, as it did
+BEAT_S = 2.0  # a watch has last said something so long ago at most
 LONGEST_S = 600.0
 LOOPS_S, LOOP_S = 20.0, 1.0
 SIZES = (12, 16, 60, 150, 200, 1_000, 10_000)
@@ -66,12 +68,12 @@
 class Jitter(Agent):
     """Exponential back-off with full jitter over a bound that is the same for every fleet."""
 
-    most = 10.0
+    bound = 10.0
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         if end is End.DONE:
             return 0.0
-        wait = self.rng.random() * min(self.most, 0.05 * 2.0**self.tries)
+        wait = self.rng.random() * min(self.bound, 0.05 * 2.0**self.tries)
         self.tries = min(self.tries + 1, 10)
         return wait
 
@@ -81,13 +83,13 @@
 
     last = 0.05
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         if end is End.DONE:
             return 0.0
         self.last = min(10.0, self.rng.uniform(0.05, 3 * self.last))
         return self.last
 
-    def answered(self, took: float) -> None:
+    def answered(self) -> None:
         self.last = 0.05
 
 
@@ -95,10 +97,10 @@
     """A bucket of tokens of this balancer's part of the service: one at the start, the next a lap later."""
 
     def __init__(self, rng: random.Random, balancers: int) -> None:
-        super().__init__(rng)
+        super().__init__(rng, GRACE_S)
         self.lap = balancers / PER_S
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         return 0.0 if end is End.DONE else max(self.lap, backoff(self.tries, self.rng))
 
 
@@ -112,18 +114,18 @@
 class FullLap(Shared):
     """The policy in force with full jitter over two laps in place of a lap, more or less."""
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
-        wait = super().after(end, retry_after)
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
+        wait = super().after(end, took, retry_after)
         lap = 2.0 * self.lap * self.stretch
         return wait if wait < self.lap / 2 else max(backoff(self.tries, self.rng), self.rng.random() * lap)
 
 
 Make = Callable[[random.Random, int, Callable[[], float]], Calls]
 POLICIES: dict[str, Make] = {
-    "before": lambda rng, n, now: Agent(rng),
-    "patient": lambda rng, n, now: Patient(rng),
-    "full jitter": lambda rng, n, now: Jitter(rng),
-    "decorrelated": lambda rng, n, now: Decorrelated(rng),
+    "before": lambda rng, n, now: Agent(rng, GRACE_S),
+    "patient": lambda rng, n, now: Patient(rng, GRACE_S),
+    "full jitter": lambda rng, n, now: Jitter(rng, GRACE_S),
+    "decorrelated": lambda rng, n, now: Decorrelated(rng, GRACE_S),
     "bucket": lambda rng, n, now: Bucket(rng, n),
     "lap, full jitter": lambda rng, n, now: FullLap(n, PER_S, ASK_S, rng, now),
     "lap": lambda rng, n, now: Shared(n, PER_S, ASK_S, rng, now),
@@ -138,6 +140,8 @@
     served: float = -1.0  # when it first had the list
     made: int = 0
     out: int = -1  # its call that is out
+    kept: int = -1  # an earlier one that may still be answered
+    since: float = 0.0  # that was made
     watching: bool = False
     life: int = 0
 
@@ -154,7 +158,7 @@
     now: float = 0.0
     calls: list[float] = field(default_factory=list)  # when each was made
     answers: int = 0  # that the service worked out
-    queue: deque[tuple[Asker, int, float]] = field(default_factory=deque)
+    queue: deque[tuple[Asker, int]] = field(default_factory=deque)
     busy: bool = False
 
     def __post_init__(self) -> None:
@@ -205,7 +209,7 @@
     def restart(self, one: Asker) -> None:
         """Killed; a new process under its name knows nothing."""
         one.life += 1
-        one.calls, one.out, one.watching, one.served = self.make(), -1, False, -1.0
+        one.calls, one.out, one.kept, one.watching, one.served = self.make(), -1, -1, False, -1.0
         self.later(self.rng.random() * START_S, lambda: self.start(one))
 
     def loop(self, one: Asker) -> None:
@@ -214,35 +218,42 @@
             self.later(LOOP_S, lambda: self.loop(one))
 
     def call(self, one: Asker) -> None:
+        if one.watching:  # an earlier call has been answered meanwhile
+            return
         one.made += 1
         one.out = number = one.made
+        one.since = self.now
         self.calls.append(self.now)
         if self.down():
             return self.end(one, number, End.UNREACHED)
         rate = PER_S * self.trouble.rate
         if self.trouble.turns and len(self.queue) / rate > TURN_S:
             return self.end(one, number, End.TURNED_AWAY)
-        self.queue.append((one, number, self.now))
+        self.queue.append((one, number))
         self.later(one.calls.patience(), lambda: self.end(one, number, End.SILENT))
         self.work()
 
     def end(self, one: Asker, number: int, how: End) -> None:
         if one.out == number:
             one.out = -1
-            self.soon(one, one.calls.after(how))
+            if how is End.SILENT and one.calls.keeps and one.kept < 0:
+                one.kept = number
+            self.soon(one, one.calls.after(how, self.now - one.since))
 
     # ---- the service
 
     def die(self) -> None:
         self.life += 1
         self.busy = False
-        for one, number, _ in list(self.queue):
+        for one, number in list(self.queue):
+            if one.kept == number:
+                one.kept = -1
             self.end(one, number, End.BROKEN)
         self.queue.clear()
         for one in self.askers:
             if one.watching:
                 one.watching = False
-                self.soon(one, one.calls.after(End.LOST))
+                self.soon(one, one.calls.after(End.LOST, self.rng.random() * BEAT_S))
 
     def work(self) -> None:
         if self.busy or not self.queue:
@@ -256,14 +267,17 @@
             return
         self.busy = False
         self.answers += 1
-        one, number, at = self.queue.popleft()
-        if one.out == number:
-            one.out, one.watching = -1, True
-            one.calls.answered(self.now - at)
-            if one.served < 0:
-                one.served = self.now + self.trouble.trickle
+        one, number = self.queue.popleft()
+        self.later(self.trouble.trickle, lambda: self.told(one, number))
         self.work()
 
+    def told(self, one: Asker, number: int) -> None:
+        if number in (one.out, one.kept):
+            one.out, one.kept, one.watching = -1, -1, True
+            one.calls.answered()
+            if one.served < 0:
+                one.served = self.now
+
     # ---- what it came to
 
     def most_in(self, span: float, end: float = float("inf")) -> int:
--- a/bench/fleetmodel.py
+++ b/bench/fleetmodel.py
@@ -435,18 +435,18 @@
         if wait > TURN_MS:
             return node.later(1.0, lambda: self.turned_away(node))
         self.line_free = self.now + wait + CALL_MS
-        node.later(wait + CALL_MS, lambda: self.told(node, wait + CALL_MS))
+        node.later(wait + CALL_MS, lambda: self.told(node))
 
     def turned_away(self, node: Node) -> None:
         if node.calls is None:
             return node.feed(io.ListUpdate("failed"))
         from quartzford.membership.calls import End
 
-        node.later(1000.0 * node.calls.after(End.TURNED_AWAY), lambda: self.call(node))
+        node.later(1000.0 * node.calls.after(End.TURNED_AWAY, 0.0), lambda: self.call(node))
 
-    def told(self, node: Node, took: float) -> None:
+    def told(self, node: Node) -> None:
         if node.calls is not None:
-            node.calls.answered(took / 1000.0)
+            node.calls.answered()
         node.tell("whole", [(u, "ready") for u in self.upstreams])
 
     # ---- mass events
--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -1,5 +1,10 @@
 """When the list service is called, how long an answer is waited for, and what is asked. No I/O.
 
+What the service has, and could be reached for, counts as told TOLD_S later, whatever went before. So from the
+beginning of one call to the answer of the next no more than that may pass: a change that comes just after a
+call has begun that will never be answered is told by the next one. A cycle is the time that the call took,
+the wait behind it and the time that the next may take; all that makes waits longer ends at its bound.
+
 Two policies. `Agent` is for a list that is pushed: the address is an agent on this machine, a call costs
 nobody anything, and the sooner the better. `Shared` is for one service that all balancers of a fleet ask. It
 bounds what they ask of it together, though no balancer knows what another does:
@@ -10,10 +15,10 @@
 - After a failure the next call follows a lap later, more or less: calls that were spread stay spread, and the
   fleet's rate stays that of one lap. (Full jitter would let a third of a fleet come in a quarter of the lap.)
 - What turns calls away, or lets them wait for nothing, is asked in longer laps until it has answered.
-- A call that was accepted is waited for as long as a lap's queue lasts, and twice as long each time that this
-  was too short: a service that goes on working for callers who have left is not asked for more of it.
+- A call that was accepted and is late is kept beside the next one, for KEPT_S: a service that works through a
+  long queue answers it in its turn, and to leave would make that work for nobody.
 
-Times are in seconds. docs/coldstart.md holds what was weighed, with numbers.
+Times are in seconds. docs/coldstart.md holds what was weighed, with numbers, and what the bound costs.
 """
 
 from __future__ import annotations
@@ -24,15 +29,18 @@
 from enum import Enum
 from typing import Protocol
 
+TOLD_S = 5.75  # from the beginning of a call to the next one's answer: 6 s, less what the loop may be late
 CONNECT_S = 1.5  # nobody took the connection for so long
-ANSWER_S = 1.5  # an agent's answer, from the call on
-SILENCE_S = 2.75  # between two pieces of an answer; a watch says something every two seconds
+ANSWER_S = 1.5  # an agent's whole answer, from the connection on
+QUEUE_S = 2.0  # the same of a service that all ask: calls wait in turn there
+LINE_S = 2.75  # between two whole lines of a watch, which says something every two seconds
 RETRY_S = (0.05, 1.0)  # from one failed call to the next where no lap is longer, doubling
+GRACE_PART = 0.4  # of the time that sends to what drains may go on, that an agent may be left unasked
 SMALL = 16  # so many balancers may call at once
 WAIT_SPREAD = (0.75, 1.25)  # of a lap, from a failed call to the next
+WAIT_BOUND = (0.8, 1.0)  # of the longest wait that TOLD_S leaves
+KEPT_S = 60.0  # a call that was accepted may still be answered for so long
 STRETCH, STRETCH_MOST = 1.5, 16.0  # laps grow by this with each call that the service could not bear
-PATIENCE_LAPS = 2.0  # an accepted call's answer: a lap's queue, and as much again
-PATIENCE_MOST_S = 60.0
 
 
 class End(Enum):
@@ -51,44 +59,57 @@
     """A policy of calls to the list service."""
 
     tries: int  # failed calls since the last answer
+    keeps: bool  # an accepted call that is late is kept beside the next one
 
     def first(self) -> float:
         """Wait before the first call of a start, or to an address that is new."""
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
-        """Wait before the next call. retry_after: what the service asked for, or 0."""
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
+        """Wait before the next call. retry_after: what the service asked for, or 0.
+
+        took: by the call that has ended; of a watch that had told something, since its last whole line.
+        """
 
     def connect(self) -> float:
         """How long a connection may take."""
 
     def patience(self) -> float:
-        """How long the answer's first piece may take, from the connection on."""
+        """How long the first whole list, or change, may take, from the connection on."""
 
-    def answered(self, took: float) -> None:
-        """The list, or its changes, came so long after the connection."""
+    def answered(self) -> None:
+        """The list, or its changes, came."""
 
 
-def backoff(tries: int, rng: random.Random) -> float:
+def backoff(tries: int, rng: random.Random, most: float = RETRY_S[1]) -> float:
     """The wait of one that asks alone."""
-    least, most = RETRY_S
-    return min(most, least * 2.0 ** min(tries, 10)) * rng.uniform(0.5, 1.0)
+    return min(most, RETRY_S[0] * 2.0 ** min(tries, 10)) * rng.uniform(0.5, 1.0)
 
 
 class Agent:
-    """Lists are pushed to this machine."""
+    """Lists are pushed to this machine.
+
+    What the agent gets when discovery is back counts as told in that moment, and a call that hangs is
+    answered then. So it is left unasked only for a part of the time that sends to what drains may go on.
+    """
 
-    def __init__(self, rng: random.Random) -> None:
+    keeps = False
+
+    def __init__(self, rng: random.Random, drain_grace: float) -> None:
         self.rng = rng
         self.tries = 0
+        self.configure(drain_grace)
+
+    def configure(self, drain_grace: float) -> None:
+        self.most = min(RETRY_S[1], max(RETRY_S[0], GRACE_PART * drain_grace))
 
     def first(self) -> float:
         self.tries = 0
         return 0.0
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         if end is End.DONE or end is End.UNREAD:
             return 0.0
-        wait = backoff(self.tries, self.rng)
+        wait = backoff(self.tries, self.rng, self.most)
         self.tries = min(self.tries + 1, 10)
         return wait
 
@@ -98,7 +119,7 @@
     def patience(self) -> float:
         return ANSWER_S
 
-    def answered(self, took: float) -> None:
+    def answered(self) -> None:
         self.tries = 0
 
 
@@ -109,6 +130,8 @@
     so long, whatever it said (a balancer must not go longer without asking).
     """
 
+    keeps = True
+
     def __init__(
         self, balancers: int, per_s: float, most_wait: float, rng: random.Random, now: Callable[[], float]
     ) -> None:
@@ -116,9 +139,7 @@
         self.configure(balancers, per_s, most_wait)
         self.tries = 0
         self.stretch = 1.0  # of the lap
-        self.silences = 0  # calls in a row that were accepted and not answered
         self.unread_until = -math.inf  # till then an answer of no use is not followed by a call at once
-        self.slowest = 0.0  # the longest that an answer took of late
 
     def configure(self, balancers: int, per_s: float, most_wait: float) -> None:
         """New settings; what was learnt of the service stays."""
@@ -126,39 +147,39 @@
         self.most_wait = most_wait
 
     def first(self) -> float:
-        self.tries, self.silences = 0, 0
-        return self.rng.random() * self.lap
+        self.tries = 0
+        return self.rng.random() * min(self.lap, TOLD_S - QUEUE_S)
 
-    def after(self, end: End, retry_after: float = 0.0) -> float:
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         if end is End.DONE:
             return 0.0
         if end is End.UNREAD and self.now() >= self.unread_until:  # again and again, it is a failure
             self.unread_until = self.now() + max(RETRY_S[1], self.lap)
             return 0.0
+        lap = self.lap * self.stretch
+        most = max(0.0, min(self.most_wait, TOLD_S - QUEUE_S - took))
         if end is End.LOST:  # all watches end in one moment when the service does
-            return max(self.rng.random() * self.lap * self.stretch, backoff(0, self.rng))
+            return max(self.rng.random() * min(lap, most), min(most, backoff(0, self.rng)))
         if end is End.TURNED_AWAY or end is End.SILENT:
             self.stretch = min(STRETCH_MOST, self.stretch * STRETCH)
-            self.silences += end is End.SILENT
         alone = backoff(self.tries, self.rng)
         self.tries = min(self.tries + 1, 10)
+        # Drawn under the bound, and not cut at it: who is cut comes together with all others.
+        most *= self.rng.uniform(*WAIT_BOUND)
         wait = max(alone, self.lap * self.stretch * self.rng.uniform(*WAIT_SPREAD))
         if retry_after > 0:
             # Told to all alike: who came together would come back together.
             wait = max(wait, retry_after + self.rng.random() * self.lap * self.stretch)
-        return min(wait, max(self.most_wait, WAIT_SPREAD[1] * self.lap))
+        return min(wait, most)
 
     def connect(self) -> float:
         return CONNECT_S
 
     def patience(self) -> float:
-        """At least what has been seen to be needed, and more with each call that was given up."""
-        queue = max(SILENCE_S, PATIENCE_LAPS * self.lap, PATIENCE_LAPS * self.slowest)
-        return min(max(PATIENCE_MOST_S, queue), queue * 2.0 ** min(self.silences, 10))
+        return QUEUE_S
 
-    def answered(self, took: float) -> None:
-        self.tries, self.silences, self.stretch = 0, 0, 1.0
-        self.slowest = max(took, self.slowest / 2.0)
+    def answered(self) -> None:
+        self.tries, self.stretch = 0, 1.0
 
 
 def retry_after(value: str, unix_s: float) -> float:
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import re
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, cast
@@ -14,13 +14,25 @@
 import httptools
 
 from quartzford.engine import Clock, Handle, Log
-from quartzford.membership.calls import SILENCE_S, Calls, End, retry_after
+from quartzford.membership.calls import KEPT_S, LINE_S, Calls, End, retry_after
 from quartzford.membership.listing import LONG_BYTES, Listing, Sink, read_listing
 
 READ_S = 4.25  # reading a long text beside the loop may take so long
 LINE_BYTES = 4 * 1024 * 1024
 
 
+BEGINS = re.compile(rb'\s*\{\s*(?:"|\Z)')  # an object that may yet become whole
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+def opened(line: bytes) -> int:
+    """Objects that this line opens and leaves open; below 0: that it closes of lines before."""
+    if line.count(b"{") == line.count(b"}"):
+        return 0
+    bare = STRING.sub(b"", line)  # names may hold braces
+    return bare.count(b"{") - bare.count(b"}")
+
+
 class Watch:
     """Keeps one watch open, and knows which version of the list this balancer has."""
 
@@ -33,6 +45,7 @@
         self.version: int | None = None
         self.heard = False  # discovery has answered since the start
         self.call: Call | None = None
+        self.kept: Call | None = None  # an earlier one that was accepted and may still be answered
         self.timer: Handle | None = None
         self.stopped = False
         self.counts: Counter[str] = Counter()  # calls made, and how each ended
@@ -61,9 +74,10 @@
             self.timer.cancel()
             self.timer = None
         self.version = None
-        call, self.call = self.call, None
-        if call is not None:
-            call.close()
+        calls, self.call, self.kept = (self.call, self.kept), None, None
+        for call in calls:
+            if call is not None:
+                call.close()
         self.start()
 
     def current(self) -> bool:
@@ -74,8 +88,9 @@
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
-        if self.call is not None:
-            self.call.close()
+        for call in (self.call, self.kept):
+            if call is not None:
+                call.close()
 
     def line(self, text: bytes) -> bool:
         try:
@@ -99,14 +114,37 @@
         self.sink.listed(listing)
         return True
 
+    def answered(self, call: Call) -> None:
+        """The list has come by this call; any other is of no use now."""
+        self.calls.answered()
+        other = self.call if call is self.kept else self.kept
+        self.call, self.kept = call, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if other is not None:
+            other.close()
+
+    def late(self, call: Call) -> bool:
+        """A call has had its time without an answer; whether it stands on beside the next one."""
+        if call is not self.call or self.kept is not None or not self.calls.keeps or self.stopped:
+            return False
+        self.call, self.kept = None, call
+        self.counts["kept"] += 1
+        wait = self.calls.after(End.SILENT, self.clock.now() - call.since)
+        self.timer = self.clock.call_later(wait, self._call)
+        return True
+
     def ended(self, call: Call, again: bool) -> None:
+        if call is self.kept:
+            self.kept = None
         if call is not self.call:
             return
         self.call = None
         self.counts["ended in order" if again else f"ended {call.why}"] += 1
         if not self.stopped:
             end = call.end if not again else End.UNREAD if call.watch else End.DONE
-            wait = self.calls.after(end, call.retry_after)
+            wait = self.calls.after(end, self.clock.now() - call.since, call.retry_after)
             self.timer = self.clock.call_later(wait, self._call)
 
 
@@ -122,6 +160,7 @@
         self.version = version
         self.transport = None
         self.buffer = bytearray()
+        self.scanned = self.depth = 0  # of the buffer: lines of an object that is not whole yet
         self.over = self.finished = False
         self.reading = False  # a long text is being read beside the loop
         self.lost = False
@@ -129,7 +168,7 @@
         self.why = "closed"  # what ended it, for the counts
         self.end = End.BROKEN
         self.retry_after = 0.0
-        self.connected = math.inf  # when
+        self.since = self.clock.now()  # it was begun, or last told something
         self.told = False  # a part of the list has come
         self.timer = self.clock.call_later(owner.calls.connect(), self._unreached)
         self.task = self.loop.create_task(self._connect())
@@ -149,6 +188,9 @@
         self.close()
 
     def _silent(self) -> None:
+        if not self.told and self.owner.late(self):
+            self.timer = self.clock.call_later(KEPT_S, self.close)
+            return
         self.why, self.end = "silent", End.SILENT
         self.close()
 
@@ -169,7 +211,6 @@
         self.transport = cast(asyncio.Transport, transport)
         if self.over:
             return self.transport.abort()
-        self.connected = self.clock.now()
         self.timer.cancel()
         self.timer = self.clock.call_later(self.owner.calls.patience(), self._silent)
         host, port = self.owner.address()
@@ -180,8 +221,6 @@
     def data_received(self, data: bytes) -> None:
         if self.over:
             return
-        self.timer.cancel()
-        self.timer = self.clock.call_later(SILENCE_S, self._silent)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -212,9 +251,18 @@
         """A part of the list has come, and could be read or not."""
         if kept and not self.told:
             self.told = True
-            self.owner.calls.answered(self.clock.now() - self.connected)
+            self.owner.answered(self)
+        if kept:
+            self._alive()
         return kept
 
+    def _alive(self) -> None:
+        """Only what is whole shows that the watch stands: bytes may drip in for ever and tell nothing."""
+        if self.told and not self.over:
+            self.since = self.clock.now()
+            self.timer.cancel()
+            self.timer = self.clock.call_later(LINE_S, self._silent)
+
     def _aside(self, text: bytes, done: Callable[[bool], None]) -> bool:
         """Read a long text in a thread, for it would hold the loop; whether it is that long."""
         if len(text) <= LONG_BYTES:
@@ -269,10 +317,17 @@
         """Whole lines that have come, in order: one that is read beside the loop holds up the next ones."""
         if not kept:
             return self._end(again=True)
-        while not self.over and not self.reading and (end := self.buffer.find(b"\n")) >= 0:
-            line = bytes(self.buffer[:end]).strip()
+        while not self.over and not self.reading and (end := self.buffer.find(b"\n", self.scanned)) >= 0:
+            self.depth += opened(bytes(self.buffer[self.scanned : end]))
+            self.scanned = end + 1
+            if self.depth > 0 and BEGINS.match(self.buffer):  # over several lines: the next ones belong to it
+                continue
+            text = bytes(self.buffer[: end + 1]).strip()
             del self.buffer[: end + 1]
-            if line and not self._aside(line, self._lines) and not self._heard(self.owner.line(line)):
+            self.scanned = self.depth = 0
+            if not text:
+                self._alive()
+            elif not self._aside(text, self._lines) and not self._heard(self.owner.line(text)):
                 self._end(again=True)
 
     def on_message_complete(self) -> None:
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -117,7 +117,7 @@
 
     def _calls(self, config: Config) -> Calls:
         if not self.asked:
-            return Agent(random.Random(config.seed ^ 1))
+            return Agent(random.Random(config.seed ^ 1), config.settings.rules.drain_grace_ms / 1000.0)
         host, port = config.listen
         own = draws(config.name, f"{host}:{port}", config.seed)
         most_wait = config.settings.rules.ask_every_ms / 1000.0
@@ -134,6 +134,8 @@
         if isinstance(self.watch.calls, Shared):
             most_wait = config.settings.rules.ask_every_ms / 1000.0
             self.watch.calls.configure(config.settings.balancers, self.lists_per_s, most_wait)
+        elif isinstance(self.watch.calls, Agent):
+            self.watch.calls.configure(config.settings.rules.drain_grace_ms / 1000.0)
         if moved:
             self.watch.follow()
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -9,11 +9,14 @@
 
 from bench.callmodel import PER_S, TROUBLES, Model, Trouble, bound_s
 from quartzford.membership.calls import (
-    PATIENCE_MOST_S,
+    CONNECT_S,
+    LINE_S,
+    QUEUE_S,
     RETRY_S,
-    SILENCE_S,
     SMALL,
+    TOLD_S,
     Agent,
+    Calls,
     End,
     Shared,
     draws,
@@ -70,10 +73,11 @@
 @pytest.mark.parametrize("life_s", [0.3, 1.0, 3.0])
 def test_one_that_dies_again_and_again_calls_no_more_than_its_share(life_s: float) -> None:
     """No disk remembers its calls; that each start draws its moment from a whole lap does."""
-    lap = shared(200).lap
-    starts = 4_000
-    calls = sum(shared(200, seed).first() < life_s for seed in range(starts))
-    assert calls / (starts * life_s) <= 1.1 / lap
+    for balancers in (150, 200):
+        lap = min(shared(balancers).lap, TOLD_S - QUEUE_S)  # a longer one would tell a change too late
+        starts = 4_000
+        calls = sum(shared(balancers, seed).first() < life_s for seed in range(starts))
+        assert calls / (starts * life_s) <= 1.1 / lap
 
 
 def test_equal_names_and_equal_seeds_do_not_call_in_step() -> None:
@@ -87,31 +91,44 @@
 
 
 def test_small_fleets_and_pushed_lists_are_asked_for_at_once() -> None:
-    assert shared(SMALL).first() == shared(1).first() == Agent(random.Random(1)).first() == 0.0
-    agent = Agent(random.Random(1))
-    waits = [agent.after(End.UNREACHED) for _ in range(12)]
+    assert shared(SMALL).first() == shared(1).first() == Agent(random.Random(1), 0.25).first() == 0.0
+    agent = Agent(random.Random(1), 10.0)
+    waits = [agent.after(End.UNREACHED, 0.0) for _ in range(12)]
     assert all(w <= min(RETRY_S[1], RETRY_S[0] * 2.0**n) for n, w in enumerate(waits))
-    assert agent.after(End.DONE) == agent.after(End.UNREAD) == 0.0
-    agent.answered(0.1)
-    assert agent.after(End.LOST) <= RETRY_S[0]
-
-
-def test_patience_grows_with_what_was_seen_and_comes_back() -> None:
-    calls = shared(200)
-    first = calls.patience()
-    assert first >= 2 * 184 / 50.0
-    for n in range(1, 4):
-        calls.after(End.SILENT)
-        assert calls.patience() == min(PATIENCE_MOST_S, first * 2**n)
-    for _ in range(50):
-        calls.after(End.SILENT)
-    assert calls.patience() == PATIENCE_MOST_S
-    calls.answered(30.0)
-    assert calls.patience() == 60.0  # the queue that was seen may come again
-    for _ in range(10):
-        calls.answered(0.01)
-    assert calls.patience() == first
-    assert shared(2).patience() == SILENCE_S
+    assert agent.after(End.DONE, 0.0) == agent.after(End.UNREAD, 0.0) == 0.0
+    agent.answered()
+    assert agent.after(End.LOST, 0.0) <= RETRY_S[0]
+
+
+@pytest.mark.parametrize("balancers", [0, 1, 16, 200, 1_000])  # 0: pushed
+@pytest.mark.parametrize("retry_after", [0.0, 30.0])
+def test_whatever_went_before_a_change_is_told_in_six_seconds(balancers: int, retry_after: float) -> None:
+    """From any moment of a call that tells nothing, the next one is answered within 6 s.
+
+    took: the longest that a call of this end can last; of a watch, since it last told something.
+    """
+    ends = {
+        End.UNREACHED: CONNECT_S, End.TURNED_AWAY: QUEUE_S, End.BROKEN: QUEUE_S, End.LOST: LINE_S,
+        End.SILENT: QUEUE_S, End.UNREAD: QUEUE_S,
+    }  # fmt: skip
+    for seed in range(200):
+        rng = random.Random(seed)
+        calls: Calls = shared(balancers, seed) if balancers else Agent(random.Random(seed), 0.25)
+        assert calls.first() + calls.patience() <= 6.0
+        for _ in range(40):
+            end = rng.choice(list(ends))
+            took = ends[end] * rng.choice((0.0, rng.random(), 1.0))
+            assert took + calls.after(end, took, retry_after) + calls.patience() <= 6.0
+
+
+def test_an_agent_is_never_left_unasked_for_as_long_as_a_drain_may_be_broken() -> None:
+    """What it gets when discovery is back counts as told in that moment; waits of up to 1 s told it late."""
+    for grace in (0.25, 0.5, 2.0):
+        agent = Agent(random.Random(1), grace)
+        ends = (End.SILENT, End.UNREACHED, End.LOST, End.BROKEN, End.TURNED_AWAY)
+        assert max(agent.after(end, 1.5) for _ in range(20) for end in ends) <= grace / 2
+    agent.configure(0.25)
+    assert agent.after(End.SILENT, 1.5) <= 0.125
 
 
 @pytest.mark.parametrize(
@@ -128,30 +145,30 @@
 
 
 @pytest.mark.parametrize("balancers", [4, 200])
-def test_a_time_to_come_back_is_kept_but_never_for_longer_than_one_may_go_without_asking(
-    balancers: int,
-) -> None:
+def test_a_time_to_come_back_is_kept_but_never_for_longer_than_a_change_may_be_late(balancers: int) -> None:
     calls = shared(balancers)
-    waits = [calls.after(End.TURNED_AWAY, 3.0) for _ in range(200)]
-    assert min(waits) >= 3.0
-    assert max(calls.after(End.TURNED_AWAY, 3600.0) for _ in range(50)) <= 10.0
+    waits = [calls.after(End.TURNED_AWAY, 0.0, 1.5) for _ in range(200)]
+    assert min(waits) >= 1.5
+    told = [calls.after(End.TURNED_AWAY, 0.0, 3600.0) for _ in range(50)]
+    assert min(told) >= 0.75 * (TOLD_S - QUEUE_S) and max(told) <= TOLD_S - QUEUE_S
+    assert len(set(told)) == 50  # told to all alike, they don't come back together
     assert 0.0 < shared(balancers).after(End.TURNED_AWAY, 0.0) <= 10.0
 
 
 def test_a_service_whose_answers_are_of_no_use_is_not_asked_in_a_circle() -> None:
     now = [0.0]
     calls = shared(200, now=now)
-    assert calls.after(End.UNREAD) == 0.0  # the whole is asked for at once
-    calls.answered(0.1)
-    waits = [calls.after(End.UNREAD) for _ in range(5)]
+    assert calls.after(End.UNREAD, 0.0) == 0.0  # the whole is asked for at once
+    calls.answered()
+    waits = [calls.after(End.UNREAD, 0.0) for _ in range(5)]
     assert min(waits) > 1.0 and all(math.isfinite(w) for w in waits)
     now[0] = 60.0
-    assert calls.after(End.UNREAD) == 0.0
+    assert calls.after(End.UNREAD, 0.0) == 0.0
 
 
 def test_discovery_moved_under_all_is_asked_over_a_lap() -> None:
     firsts = sorted(shared(200, seed).first() for seed in range(200))
-    lap = 184 / 50.0
+    lap = min(184 / 50.0, TOLD_S - QUEUE_S)
     for tenth in range(10):
         inside = sum(tenth * lap / 10 <= f < (tenth + 1) * lap / 10 for f in firsts)
         assert 8 <= inside <= 36
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -63,7 +63,7 @@
 def test_a_watch_that_goes_wrong_is_made_again(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         if how == "stalls":
-            monkeypatch.setattr(source, "SILENCE_S", 0.3)
+            monkeypatch.setattr(source, "LINE_S", 0.3)
         async with World(2) as world:
             before = len(world.discovery.came)
             world.version = 9
@@ -189,8 +189,8 @@
 ) -> None:
     """A start; known is old: its only upstream is gone. In the end the list holds, and nothing was lost."""
     monkeypatch.setattr(calls, "ANSWER_S", 0.3)
-    monkeypatch.setattr(calls, "SILENCE_S", 0.5)
-    monkeypatch.setattr(source, "SILENCE_S", 0.5)
+    monkeypatch.setattr(calls, "QUEUE_S", 0.5)
+    monkeypatch.setattr(source, "LINE_S", 0.5)
 
     async def test() -> None:
         world = asking() if asked else World()
@@ -272,13 +272,14 @@
     async with world:
         await step.wait()
         await until(lambda: world.node.watch.heard)
-        assert len(world.discovery.came) == 1 and world.node.watch.counts == {"watched": 1}
+        assert len(world.discovery.came) == 1 and world.node.watch.counts["watched"] == 1
+        assert world.node.watch.current()
 
 
 @pytest.mark.parametrize(
     ("field", "least", "most"),
     [
-        ("Retry-After: 0.6", 0.6, 5.0), ("retry-after: 3600", 0.9, 5.0), ("Retry-After: soon", 0.0, 0.6),
+        ("Retry-After: 0.6", 0.6, 5.0), ("retry-after: 3600", 0.8, 5.0), ("Retry-After: soon", 0.0, 0.6),
         ("", 0.0, 0.6),
     ],
 )  # fmt: skip
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,204 @@
+"""What discovery has, and can be reached for, is acted on within six seconds, whatever went before."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from peers import Message, Peer, World, reply, run, until
+
+TOLD_S = 6.0
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def drip(writer: asyncio.StreamWriter, text: bytes) -> None:
+    """Bytes that go on coming and tell nothing, for longer than anybody may wait."""
+    writer.write(HEAD)
+    for at in range(50):
+        writer.write(chunk(text[at : at + 1] or b"\n"))
+        await asyncio.sleep(0.2)
+
+
+async def accepted(world: World, writer: asyncio.StreamWriter) -> None:
+    """Not a byte."""
+
+
+async def head_only(world: World, writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD)
+
+
+async def blanks(world: World, writer: asyncio.StreamWriter) -> None:
+    await drip(writer, b"")
+
+
+async def half_a_line(world: World, writer: asyncio.StreamWriter) -> None:
+    await drip(writer, b'{"seq":9,"whole":true,"hosts":[' + b" " * 50)
+
+
+async def turned_away(world: World, writer: asyncio.StreamWriter) -> None:
+    writer.write(reply(b"", "503 Busy", "Retry-After: 30\r\n"))
+
+
+async def reset(world: World, writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD + chunk(b'{"seq":9,"wh'))
+    await writer.drain()
+    writer.transport.abort()
+
+
+async def closed(world: World, writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD + chunk(b'{"seq":9,"whole":true,"hosts":['))
+    writer.close()
+
+
+async def indented(world: World, writer: asyncio.StreamWriter) -> None:
+    """The change itself, over many lines, among them one that ends an object within it."""
+    assert world.current is not None
+    writer.write(HEAD + chunk(json.dumps(world.current, indent=2).encode() + b"\n"))
+
+
+Bad = Callable[[World, asyncio.StreamWriter], Any]
+CALLS: tuple[Bad, ...] = (
+    accepted, head_only, blanks, half_a_line, turned_away, reset, closed, indented,
+)  # fmt: skip
+
+
+def site(asked: bool) -> World:
+    mode = "subscribe" if asked else "automatic"
+    return World(2, registryMode=mode, nInstances=200 if asked else 1)
+
+
+async def drained(world: World) -> float:
+    """Until nothing more is sent to what drains, from now on."""
+    loop = asyncio.get_running_loop()
+    world.version += 5
+    world.current = world.list(world.host(0, "draining"), world.host(1))
+    before = loop.time()
+    await until(lambda: not world.node.pool.upstreams["s0"].ready, 20)
+    return loop.time() - before
+
+
+async def after_a_call(bad: Bad, asked: bool) -> float:
+    """The watch ends; the call that follows is the bad one, and the change comes just after it was made."""
+    async with site(asked) as world:
+        came = asyncio.Event()
+
+        async def first(message: Message, writer: asyncio.StreamWriter) -> None:
+            world.discovery.script = world._discover
+            came.set()
+            await asyncio.sleep(0)  # the change is there from now on
+            await bad(world, writer)
+
+        world.discovery.script = first
+        world.watches[-1].transport.abort()
+        await came.wait()
+        return await drained(world)
+
+
+async def after_silence(asked: bool) -> float:
+    """The watch that stands says nothing more."""
+    async with site(asked) as world:
+        return await drained(world)
+
+
+async def after_a_connect_that_hangs(asked: bool) -> float:
+    async with site(asked) as world:
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+            held = [socket.socket() for _ in range(8)]
+            for one in held:
+                one.setblocking(False)
+                one.connect_ex(full.getsockname())
+            well = world.node.watch.address
+            called = asyncio.Event()
+
+            def hanging() -> tuple[str, int]:
+                world.node.watch.address = well
+                called.set()
+                return "127.0.0.1", full.getsockname()[1]
+
+            world.node.watch.address = hanging
+            world.watches[-1].transport.abort()
+            await called.wait()
+            took = await drained(world)
+            for one in held:
+                one.close()
+            return took
+
+
+async def after_a_move_while_a_call_is_out(asked: bool) -> float:
+    async with site(asked) as world:
+        came = asyncio.Event()
+
+        async def mute(message: Message, writer: asyncio.StreamWriter) -> None:
+            came.set()
+
+        world.discovery.script = mute
+        world.watches[-1].transport.abort()
+        await came.wait()
+        moved = Peer(world._discover)
+        await moved.start()
+        world.node.watch.address = lambda: ("127.0.0.1", moved.port)
+        world.node.watch.follow()
+        took = await drained(world)
+        await moved.stop()
+        return took
+
+
+@run
+async def test_a_change_is_acted_on_within_six_seconds_of_discovery_having_it() -> None:
+    """Pushed, and asked by two hundred. Bytes that told nothing kept a call alive for good; Retry-After, laps
+    and patience were followed for longer."""
+    rows: dict[str, Any] = {}
+    for asked in (False, True):
+        way = "asked" if asked else "pushed"
+        for bad in CALLS:
+            rows[f"{way}, {bad.__name__}"] = after_a_call(bad, asked)
+        rows[f"{way}, silence"] = after_silence(asked)
+        rows[f"{way}, connect"] = after_a_connect_that_hangs(asked)
+        rows[f"{way}, move"] = after_a_move_while_a_call_is_out(asked)
+    took = dict(zip(rows, await asyncio.gather(*rows.values()), strict=True))
+    assert not {name: seconds for name, seconds in took.items() if seconds > TOLD_S}
+
+
+@run
+async def test_names_with_braces_and_lines_that_are_no_object_do_not_hold_up_the_watch() -> None:
+    async with World(2) as world:
+        odd = world.host(1) | {"class": 'a"}{'}
+        text = json.dumps(world.list(world.host(0, "draining"), odd), indent=1)
+        world.raw(text.encode() + b"\n\n")
+        await until(lambda: not world.node.pool.upstreams["s0"].ready, 2)
+        assert len(world.watches) == 1
+        world.version += 1
+        world.current = world.list(world.host(0), world.host(1))
+        world.tell("{nonsense")
+        await until(lambda: world.node.pool.upstreams["s0"].ready, 2)
+
+
+@run
+async def test_a_call_that_is_late_is_kept_beside_the_next_and_the_first_answer_counts() -> None:
+    """A service that works through a long queue: to leave it would make its work for nobody."""
+    world = World(registryMode="subscribe")
+    writers: list[asyncio.StreamWriter] = []
+
+    async def queue(message: Message, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+
+    world.discovery.script = queue
+    for peer in (*world.ups, world.discovery):
+        await peer.start()
+    await world.enter(heard=False)
+    await until(lambda: len(writers) == 2)  # the first one is not answered in its time
+    assert world.discovery.left == 0 and not world.node.watch.heard
+    await world._discover(world.discovery.came[0], writers[0])
+    await until(lambda: world.node.watch.heard and world.discovery.left == 1)  # the second one
+    world.version = 7
+    world.tell(world.list(world.host(0)), writers[0])
+    await until(lambda: world.node.watch.version == 7)
+    assert world.node.watch.current() and world.node.watch.kept is None
+    await world.__aexit__()
