Last answers: the connection is half-closed and read on before it is closed

Cause: HttpFront closed a connection right behind its last answer (_next, transport.close()); bytes of the client that nobody had read made the system reset it, and what the client had not yet taken of its answer was gone. _make_room aborted a connection whose answer was still on its way out. Ruled out: held-back small writes (TCP_NODELAY is set on accepted sockets); a request in the instant of an idle close is answered or never sent on, in pieces too, as before. Change: write_eof, then read and drop for a second or 32 MB at most, counted from the moment when all is written; only connections that owe nothing make room, those that wait for their client's end first.

--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -23,7 +23,8 @@
 BODY_S = 2.0  # this long with no byte of a body is a stall
 WHOLE_S = 5.0  # a whole request takes no longer, however slowly its bytes drip in
 READ_S = 20.0  # a client that takes no byte of its answer for this long is given up
-LINGER_S = 1.0  # after an answer to a request that was not read to its end
+LINGER_S = 1.0  # after the last answer of a connection, for what its client still writes
+LINGER_BYTES = 32 * 1024 * 1024  # that are read on the way
 PAUSED_S = 1.0
 PIPELINED = 16
 HIGH_BYTES = 16 * 1024
@@ -288,17 +289,31 @@
             self._make_room()
 
     def _make_room(self) -> None:
-        victim = next((c for c in self.front.clients if c.idle() and c is not self), None)
+        clients = self.front.clients
+        victim = next((c for c in clients if c is not self and c.rested() and c.owes_nothing()), None)
         if victim is None:
-            victim = next((c for c in self.front.clients if c.exchange is None and c is not self), None)
+            victim = next((c for c in clients if c is not self and c.owes_nothing()), None)
         if victim is not None:
             victim.transport.abort()
 
+    def rested(self) -> bool:
+        """It may be closed with nothing lost: it rests, or only waits for its client to go."""
+        return self.closing or self.idle()
+
+    def owes_nothing(self) -> bool:
+        """No answer is owed here, and none is on its way out."""
+        if self.exchange is not None or self.waiting or self.held is not None:
+            return False
+        return not self.transport.is_closing() and not self.transport.get_write_buffer_size()
+
     def idle(self) -> bool:
         return self.exchange is None and not self.in_message and not self.closing and self.held is None
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
+            self.head_bytes += len(data)
+            if self.head_bytes > LINGER_BYTES:
+                self.transport.abort()
             return
         self.moved = self.front.now()
         if not self.in_message:
@@ -546,8 +561,7 @@
             exchange.release()
         if not exchange.keep:
             self._forget_waiting()
-            self.closing, self.since = True, math.inf
-            self.transport.close()
+            self._end_sending()
         elif self.waiting:
             following, request = self.waiting.popleft()
             if not self.waiting:
@@ -575,11 +589,20 @@
             return
         self._drop_body()
         self.front.engine.figures.turned_away(status, getattr(self, "read", {}).get("name", ""))
-        self.closing = True
-        self.since = self.front.now()
         text = REASONS[status]
         head = b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, text)
         self.transport.write(head)
+        self._end_sending()
+
+    def _end_sending(self) -> None:
+        """Close this side once what is written has gone, and read on for a moment.
+
+        To close over bytes that nobody has read resets the connection, and what the client has not read of
+        its answer may be gone with it. What it still sends is not acted on: it can tell that it was not.
+        """
+        if self.transport.is_closing():
+            return
+        self.closing, self.since, self.head_bytes = True, self.front.now(), 0
         self.transport.resume_reading()
         self.transport.write_eof()
 
@@ -606,15 +629,16 @@
             self.transport.close()
 
     def check(self, now: float) -> None:
-        if self.closing:
-            if now - self.since > LINGER_S or now - self.moved > READ_S:
-                self.transport.abort()
-        elif self.stuck:
-            size = self.transport.get_write_buffer_size()
+        size = self.transport.get_write_buffer_size()
+        if size and (self.closing or self.stuck):
+            self.since = now if self.closing else self.since  # it lingers once all is written
             if size != self.backlog:
                 self.backlog, self.moved = size, now
             elif now - self.moved > READ_S:
                 self.transport.abort()
+        elif self.closing:
+            if now - self.since > LINGER_S:
+                self.transport.abort()
         elif self.exchange is None and self.in_message:
             stalled = now - self.since > HEAD_S if self.in_head else now - self.moved > BODY_S
             if stalled or now - self.since > WHOLE_S:
