Clients that are not read for now: their end is looked for, not waited for

Cause: with 16 requests waiting, or a body held back by the bound on memory, the front pauses the transport (on_message_complete, on_body); a paused transport tells neither of FIN nor of RST, and what waited was sent on for a client that had gone. Change: those that are not read are asked every 40 ms for a hang-up (POLLRDHUP, which is seen past unread bytes).

--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import select
 import socket
 import struct
 from collections import deque
@@ -26,6 +27,7 @@
 LINGER_S = 1.0  # after the last answer of a connection, for what its client still writes
 LINGER_BYTES = 32 * 1024 * 1024  # that are read on the way
 PAUSED_S = 1.0
+LOOK_S = 0.04  # how often it is looked whether those that are not read have gone
 PIPELINED = 16
 HIGH_BYTES = 16 * 1024
 BACKLOG = 2048
@@ -58,6 +60,7 @@
 }
 ONCE = ("host", "id")
 KEPT = frozenset((b"host", b"x-correlation-id", b"idempotency-key"))  # whatever Connection names
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -108,6 +111,7 @@
         self.accepting = False
         self.listener: socket.socket | None = None  # stays open while nobody accepts: its queue is kept
         self.heir: Callable[[int], bool] | None = None  # takes the connections that rest
+        self.unread: dict[Client, None] = {}  # whose bytes are left with the system for now
 
     async def listen(
         self, address: tuple[str, int], loop: asyncio.AbstractEventLoop, shared: bool = False,
@@ -168,6 +172,24 @@
         """Requests that have come whole behind others of their connection."""
         return sum(len(client.waiting) for client in self.clients)
 
+    def hold_back(self, client: Client) -> None:
+        """Its bytes are not read for now, and so the loop doesn't tell when it goes."""
+        client.transport.pause_reading()
+        if not self.unread:
+            self.clock.call_later(LOOK_S, self._look)
+        self.unread[client] = None
+
+    def read_on(self, client: Client) -> None:
+        if client in self.unread:
+            del self.unread[client]
+            client.transport.resume_reading()
+
+    def _look(self) -> None:
+        for client in list(self.unread):
+            client.look()
+        if self.unread:
+            self.clock.call_later(LOOK_S, self._look)
+
     def close_idle(self) -> None:
         for client in list(self.clients):
             client.close_if_idle()
@@ -341,6 +363,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.front.clients.pop(self, None)
+        self.front.unread.pop(self, None)
         self._left()
         self.parser = None
         self.closing = True
@@ -426,7 +449,7 @@
         self.front.budget.used += len(data)
         if self.front.budget.full():
             self.paused_at = self.paused_at or self.front.now()
-            self.transport.pause_reading()
+            self.front.hold_back(self)
 
     def _drop_body(self) -> None:
         self.front.budget.used -= self.body_bytes
@@ -442,7 +465,7 @@
         if self.exchange is not None or self.waiting:
             self.waiting.append((exchange, request))
             if len(self.waiting) >= PIPELINED:
-                self.transport.pause_reading()
+                self.front.hold_back(self)
         else:
             self._take(exchange, request)
 
@@ -565,7 +588,7 @@
         elif self.waiting:
             following, request = self.waiting.popleft()
             if not self.waiting:
-                self.transport.resume_reading()
+                self.front.read_on(self)
             self._take(following, request)
         elif self.error:
             self.reject(self.error)
@@ -603,11 +626,19 @@
         if self.transport.is_closing():
             return
         self.closing, self.since, self.head_bytes = True, self.front.now(), 0
-        self.transport.resume_reading()
+        self.front.read_on(self)
         self.transport.write_eof()
 
     # ---- housekeeping
 
+    def look(self) -> None:
+        """Whether a client that is not read has gone: its end stands behind what nobody has read."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), GONE)
+        if any(what & GONE for _, what in poll.poll(0)):
+            self._left()
+            self.transport.abort()
+
     def rests(self) -> bool:
         """Nothing of a request has been read and nothing of an answer is left: another process may go on."""
         return (
@@ -645,7 +676,7 @@
                 self.reject(408)
             elif self.paused_at and not self.front.budget.full():
                 self.paused_at = 0.0
-                self.transport.resume_reading()
+                self.front.read_on(self)
             elif self.paused_at and now - self.paused_at > PAUSED_S:
                 self.reject(503)
         elif now - self.moved > IDLE_S:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,7 +10,9 @@
 
 import pytest
 import uvloop
-from peers import Message, World, reply, request, run, until
+from peers import SETTINGS, Message, World, reply, request, run, until
+
+from quartzford.decision import interface as io
 
 RESET = struct.pack("ii", 1, 0)
 
@@ -118,3 +120,116 @@
             sock.close()
 
     uvloop.run(test())
+
+
+LEAVES: dict[str, Callable[[socket.socket], None]] = {
+    "FIN": lambda sock: sock.close(),
+    "FIN behind unread bytes": lambda sock: (sock.send(b"G" * 20_000), sock.close()),  # type: ignore[func-returns-value]
+    "RST": lambda sock: (  # type: ignore[func-returns-value]
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET), sock.close(),
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("how", LEAVES)
+@pytest.mark.parametrize("why", ["pipelined", "budget"])
+def test_a_client_that_is_not_read_takes_what_waits_along_when_it_goes(how: str, why: str) -> None:
+    """Its bytes are left with the system by back-pressure; a loop that does not read hears of no end."""
+
+    async def test() -> None:
+        async with World() as world:
+            gate = asyncio.Event()
+            world.ups[0].script = gated(gate, reply())
+            sock = await raw(world)
+            sock.send(request())
+            await until(lambda: world.ups[0].came)
+            if why == "pipelined":
+                sock.send(request("pay", b"") * 40)
+            else:
+                world.node.budget.limit = 0
+                sock.send(request("pay", b"") + request("pay", b"b" * 5000)[:-1000])
+            await until(lambda: world.node.front.unread)
+            LEAVES[how](sock)
+            left = asyncio.get_running_loop().time()
+            await until(lambda: not world.node.front.clients, 2)
+            assert asyncio.get_running_loop().time() - left < 0.1
+            gate.set()
+            world.node.budget.limit = 1_000_000
+            assert (await world.ask(request())).status == 200
+            assert len(world.ups[0].came) == 2 and not world.node.engine.calls
+            assert world.node.budget.used == 0 and not world.node.front.unread
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("where", ["held", "connecting", "attempt out", "between attempts"])
+def test_a_client_that_goes_gets_no_further_attempt_wherever_its_request_is(where: str) -> None:
+    async def test() -> None:
+        async with World(2, limits={**SETTINGS["limits"], "connectTimeoutMs": 3000.0}) as world:
+            gate, hang = asyncio.Event(), socket.create_server(("127.0.0.1", 0), backlog=0)
+            held = [socket.socket() for _ in range(8)]
+            for up in world.ups:
+                up.script = gated(gate, reply())
+            if where == "held":
+                world.news(world.host(0, "draining"), world.host(1, "draining"))
+                await until(lambda: not world.node.engine.balancer.ready)
+            elif where == "connecting":
+                for one in held:
+                    one.setblocking(False)
+                    one.connect_ex(hang.getsockname())
+                address = f"127.0.0.1:{hang.getsockname()[1]}"
+                world.news(world.host(0, dial=address), world.host(1, dial=address), whole=True)
+                await until(lambda: len(world.node.pool.upstreams) == 2)
+            elif where == "between attempts":
+                for up in world.ups:
+                    up.script = gated(gate, reply(b"", "500 Sorry"))
+            sock = await raw(world)
+            sock.send(request())
+            sends = lambda: [a for a in world.actions if isinstance(a, io.Send)]  # noqa: E731
+            if where == "held":
+                await until(lambda: world.node.engine.calls)
+            else:
+                await until(sends)
+            if where == "between attempts":  # the first one fails, and there is nobody for a second
+                world.news(world.host(0, "draining"), world.host(1, "draining"))
+                await until(lambda: not world.node.engine.balancer.ready)
+                gate.set()
+                await until(lambda: world.outcomes() == ["error"])
+                gate.clear()
+            sock.close()
+            await until(lambda: not world.node.front.clients, 2)
+            before = len(sends())
+            assert not world.node.engine.calls and not world.node.pool.connects
+            world.news(world.host(0), world.host(1), whole=True)
+            for up in world.ups:
+                up.script = gated(gate, reply())
+            gate.set()
+            other = await world.ask(request("pay", b""))
+            assert other.status == 200 and len(sends()) == before + 1
+            assert world.node.engine.balancer.flights == {} and world.node.budget.used == 0
+            for one in (hang, *held):
+                one.close()
+
+    uvloop.run(test())
+
+
+@run
+async def test_three_hundred_clients_that_leave_in_one_instant_of_a_busy_loop_leave_nothing_behind() -> None:
+    async with World(2) as world:
+        gate = asyncio.Event()
+        for up in world.ups:
+            up.script = gated(gate, reply())
+        socks = [await raw(world) for _ in range(300)]
+        for sock in socks:
+            sock.send(request("pay", b"b" * 2000))
+        await until(lambda: len(world.node.engine.calls) == 300)
+        world.news(world.host(0, "draining"), world.host(1, "draining"))
+        await until(lambda: not world.node.engine.balancer.ready)
+        for sock in socks:
+            sock.close()  # in one turn of this loop: the balancer hears of all of them in its next one
+        before = len(world.actions)
+        await until(lambda: not world.node.front.clients, 5)
+        await until(lambda: not world.node.pool.connections, 5)
+        assert not [a for a in world.actions[before:] if isinstance(a, io.Send)]
+        assert not world.node.engine.calls and world.node.budget.used == 0
+        assert not world.node.engine.balancer.flights and world.node.engine.balancer.fleet.shares.out == 0
