Attempts cancelled as their connection comes up leave no connection behind

Cause: HttpBackend._connect awaited the loop's create_connection; when the client left in the turn in which that was up, the loop ended the transport without a word to its protocol, and the connection stood in pool.connections for good. Each such crossing took one from the bound on upstream connections; the socket was closed twice. Seen: the test of 300 clients leaving in one instant failed in one of eight runs with a connection left over. Ruled out: connections put back to an upstream that drains (put closes them), late ends of idle ones. Change: the attempt itself takes it out; what the loop has been given is not closed again.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -383,21 +383,28 @@
     async def _connect(self) -> None:
         loop = self.pool.loop
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = Connection(self.upstream, sock)
         self.pool.connects += 1
         self.pool.opened[self.upstream.name] += 1
+        handed = False  # to the loop, which closes it from then on
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.pool.connect_ms / 1000.0):
                 await loop.sock_connect(sock, self.upstream.address)
-            _, connection = await loop.create_connection(lambda: Connection(self.upstream, sock), sock=sock)
-        except (OSError, TimeoutError):
-            sock.close()
+            handed = True
+            await loop.create_connection(lambda: connection, sock=sock)
+        except BaseException as error:
+            # The loop ends the transport of a call that is cancelled, and its protocol hears nothing of it.
+            self.pool.connections.discard(connection)
+            if handed:
+                sock.detach()
+            else:
+                sock.close()
+            if not isinstance(error, OSError | TimeoutError):
+                raise
             self.connecting = None
             return self.fail("connect_failed")
-        except asyncio.CancelledError:
-            sock.close()
-            raise
         finally:
             self.pool.connects -= 1
         self.connecting = None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,6 +12,7 @@
 import uvloop
 from peers import SETTINGS, Message, World, reply, request, run, until
 
+from quartzford.backends.http1 import Connection
 from quartzford.decision import interface as io
 
 RESET = struct.pack("ii", 1, 0)
@@ -233,3 +234,36 @@
         assert not [a for a in world.actions[before:] if isinstance(a, io.Send)]
         assert not world.node.engine.calls and world.node.budget.used == 0
         assert not world.node.engine.balancer.flights and world.node.engine.balancer.fleet.shares.out == 0
+
+
+# ---- a connection to an upstream
+
+
+@run
+async def test_an_attempt_that_is_cancelled_as_its_connection_comes_up_leaves_none_behind() -> None:
+    """The loop ended the transport and told nobody: the connection was counted as open for good."""
+    async with World() as world:
+        made = Connection.connection_made
+        crossed = 0
+
+        def leaves(self: Connection, transport: asyncio.BaseTransport) -> None:
+            """The client goes in the turn in which the connection is up, before the attempt hears of it."""
+            nonlocal crossed
+            made(self, transport)
+            if crossed < 20:
+                crossed += 1
+                for call in list(world.node.engine.calls.values()):
+                    world.node.engine.gone(call)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Connection, "connection_made", leaves)
+            for _ in range(20):
+                sock = await raw(world)
+                sock.send(request("pay", b""))
+                before = crossed
+                await until(lambda before=before: crossed > before)  # type: ignore[misc]
+                await until(lambda: not world.node.pool.connects)
+                sock.close()
+        assert not world.node.pool.connections and not world.node.engine.calls
+        assert (await world.ask(request("pay", b""))).status == 200
+        assert len(world.ups[0].came) == 1
