Told to end: what is owed is answered before the process is killed

Cause: Node._end_when_quiet waited for the longest deadline of the settings and 0.55 s, then exited over what was open; the platform kills after three seconds of it at most and 0.7 s. Ruled out: SIGTERM twice, SIGTERM before the list, SIGHUP and SIGTERM in one turn (tests of before), requests half read. Change: 0.2 s before the kill the module gives each request up (a refusal where that is true of it), what comes whole later is refused, a stream is broken off so that its client can tell; then the process exits.

--- a/quartzford/decision/interface.py
+++ b/quartzford/decision/interface.py
@@ -229,6 +229,10 @@
     request: int
 
 
+class Ending(NamedTuple):
+    """The process ends now: what is owed an answer gets its final one, and so does what still comes."""
+
+
 class Probed(NamedTuple):
     """The result of a Probe."""
 
@@ -238,7 +242,7 @@
     report: Report = ()
 
 
-Event = ListUpdate | ByHand | Request | Timer | Outcome | Started | Gone | Probed
+Event = ListUpdate | ByHand | Request | Timer | Outcome | Started | Gone | Ending | Probed
 
 
 # Actions
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -63,6 +63,7 @@
         self.peaks = Peaks(FAIL_MEMORY_MS)  # of good answers' latencies
         self.retry_budget = 1.0
         self.causes: Counter[str] = Counter()  # why requests were given up here
+        self.ending = False  # the process is about to exit
         self.watch_failures = -1  # -1: the list was never asked for
 
     def configure(self, settings: io.Settings) -> None:
@@ -103,6 +104,10 @@
                 self.fleet.hand(server, out)
             case io.Gone(request):
                 self.flights.pop(request, None)
+            case io.Ending():
+                self.ending = True
+                for flight in list(self.flights.values()):
+                    self._end(flight, "ending")
             case io.Started():
                 # The stream is the client's now: nothing is owed, and its age is no sign of trouble.
                 self.flights.pop(event.request, None)
@@ -261,6 +266,8 @@
             left = min(left, aim - self.settings.tick_ms - MARGIN_MS)
         flight = Flight(request, kind, self.now + left)
         self.flights[request.request] = flight
+        if self.ending:
+            return self._end(flight, "ending")
         if self.admission.admits(self.now, kind, request.tenant, self._usual):
             return self._dispatch(flight)
         return self._end(flight, "shed", self.admission.within(self.now, request.tenant) < 1.0)
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -181,6 +181,14 @@
         if attempt is not None:
             attempt.fail("cancelled")
 
+    def end_all(self) -> None:
+        """The process ends now: nothing that is owed an answer waits any longer for an attempt."""
+        attempts = [call.attempt for call in self.calls.values() if call.attempt is not None]
+        self.feed(io.Ending())
+        for attempt in attempts:
+            if not attempt.over:
+                attempt.fail("cancelled")
+
     # ---- what attempts tell
 
     def stands(self, attempt: Attempt) -> bool:
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -38,7 +38,11 @@
 LISTED_S = 1.0
 LISTS_PER_S = 50.0  # what a list service is taken to bear where no operator has said
 NEW_CLIENTS_S = 0.6
-SPARE_END_S = 0.55
+KILL_S = (
+    3.0,
+    0.7,
+)  # the platform kills no sooner after SIGTERM than the longest deadline, this at most, and this
+ANSWER_S, EXIT_S = 0.2, 0.1  # before that everything that is owed is answered, and the process exits
 SUMMARY_S = 10.0
 PASS_S = 0.02
 
@@ -222,7 +226,10 @@
     def _end_when_quiet(self) -> None:
         if self.front.draining:
             self.front.close_idle()
-        limit = self.draining_since + self.engine.longest_ms / 1000.0 + SPARE_END_S
+        most, spare = KILL_S
+        limit = self.draining_since + min(most, self.engine.longest_ms / 1000.0) + spare - EXIT_S
+        if self.clock.now() >= limit - (ANSWER_S - EXIT_S) and not self.engine.balancer.ending:
+            self.engine.end_all()
         quiet = not self.front.clients and not self.front.accepting  # taken back, more may come for a moment
         if quiet or self.clock.now() >= limit:
             self.watch.stop()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -231,8 +231,7 @@
         for writer in self.clients:
             writer.transport.abort()
         self.node.watch.stop()
-        assert self.node.front.server is not None
-        self.node.front.server.close()
+        self.node.front.stop_listening()
         for peer in (*self.ups, self.discovery):
             await peer.stop()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -267,3 +267,66 @@
         assert not world.node.pool.connections and not world.node.engine.calls
         assert (await world.ask(request("pay", b""))).status == 200
         assert len(world.ups[0].came) == 1
+
+
+# ---- the process
+
+
+@pytest.mark.parametrize(
+    ("name", "deadline", "status"), [("pay", 6000.0, 502), ("read", 6000.0, 503), ("pay", 1000.0, 502)]
+)
+def test_told_to_end_a_client_hears_before_the_process_is_killed(
+    name: str, deadline: float, status: int
+) -> None:
+    """An attempt hangs, and the request's time goes on past the moment when the platform kills: the longest
+    deadline, three seconds at most, and 0.7 s after SIGTERM. It exited, or was killed, with no word."""
+
+    async def test() -> None:
+        classes = [dict(kind, deadlineMs=deadline, sloMs=deadline) for kind in SETTINGS["classes"]]
+        async with World(classes=classes) as world:
+            gate = asyncio.Event()
+            world.ups[0].script = gated(gate, reply())
+            loop = asyncio.get_running_loop()
+            hanging = asyncio.ensure_future(world.ask(request(name, left="60000m")))
+            await until(lambda: world.ups[0].came)
+            half = await raw(world)
+            text = request("pay", b"h" * 100, left="60000m")
+            half.send(text[:-100])
+            await until(lambda: len(world.node.front.clients) == 2)
+            before = loop.time()
+            world.node.terminate()
+            world.node.terminate()
+            dripped = 0
+            while not hanging.done():
+                assert loop.time() < before + 8
+                half.send(b"h")
+                dripped += 1
+                await asyncio.sleep(0.1)
+            answer = await hanging
+            killed = before + min(deadline / 1000.0, 3.0) + 0.7
+            assert answer.status == status and answer.fields["connection"] == "close"
+            assert loop.time() < killed - 0.05
+            half.send(b"h" * (100 - dripped))  # what comes whole only now is answered, and never sent on
+            assert b" 503 " in await asyncio.wait_for(read_all(half), 2)
+            half.close()
+            await asyncio.wait_for(world.node.finished, 2)
+            assert loop.time() < killed and len(world.ups[0].came) == 1
+
+    uvloop.run(test())
+
+
+@run
+async def test_an_answer_that_streams_as_the_process_ends_is_seen_to_be_broken() -> None:
+    async with World() as world:
+
+        async def half(message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"h" * 150_000)
+
+        world.ups[0].script = half
+        sock = await raw(world)
+        sock.send(request(left="60000m"))
+        await until(lambda: any(c.attempt and c.attempt.streaming for c in world.node.engine.calls.values()))
+        world.node.engine.end_all()
+        data = await asyncio.wait_for(read_all(sock), 2)
+        assert data.count(b"h" * 1000) and len(data) < 300_000 and not world.node.engine.calls
+        sock.close()
