No descriptor left for an attempt: it ends at once, and its upstream is not blamed

Cause: HttpBackend._connect made its socket outside the block that handles errors; with EMFILE the task ended unheard and the attempt was out until its time was up. Ruled out: idle clients over the bound (1.5 times the limit, 256 and 1,024) before, during and after an outage of discovery and behind a SIGSTOP: served, discovery reached again, SIGHUP and SIGTERM taken, with the code as it was; a test on the real process holds it now (without _make_room's abort it fails at both sizes). Change: such an attempt is moot.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -382,7 +382,11 @@
 
     async def _connect(self) -> None:
         loop = self.pool.loop
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:  # no descriptor is left, which is no fault of the upstream's
+            self.connecting = None
+            return self.fail("moot")
         connection = Connection(self.upstream, sock)
         self.pool.connects += 1
         self.pool.opened[self.upstream.name] += 1
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -269,6 +270,30 @@
         assert len(world.ups[0].came) == 1
 
 
+@run
+async def test_with_no_descriptor_left_for_an_attempt_its_upstream_is_not_blamed() -> None:
+    """The error came up in a task that nobody waited for: the attempt was out until its time was up."""
+    async with World(5) as world:
+        make = socket.socket
+
+        def none_left(*args: object) -> socket.socket:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr("quartzford.backends.http1.socket.socket", none_left)
+            loop = asyncio.get_running_loop()
+            client = make()
+            client.setblocking(False)
+            await loop.sock_connect(client, ("127.0.0.1", world.port))
+            before = loop.time()
+            client.send(request("pay", b""))
+            assert (await loop.sock_recv(client, 4096)).startswith(b"HTTP/1.1 503")
+            client.close()
+        assert loop.time() - before < 1.0 and set(world.outcomes()) == {"moot"}
+        assert not any(server.failing for server in world.node.engine.balancer.ready)
+        assert (await world.ask(request("pay", b""))).status == 200
+
+
 # ---- the process
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tomllib
 from collections.abc import AsyncIterator
@@ -22,11 +23,11 @@
 COMMAND = DEPLOY["run"].replace(".venv/bin/python", f"{sys.executable} -B")
 
 
-async def spawn(config: Any, path: Path) -> asyncio.subprocess.Process:
+async def spawn(config: Any, path: Path, descriptors: int = 1024) -> asyncio.subprocess.Process:
     path.write_text(config if isinstance(config, str) else json.dumps(config))
     return await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", COMMAND, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path)},
-        stderr=asyncio.subprocess.PIPE,
+        "/bin/sh", "-c", f"ulimit -n {descriptors}; {COMMAND}", cwd=ROOT,
+        env={**os.environ, "EDGE_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
 
 
@@ -40,6 +41,8 @@
 class Program:
     """A balancer in a process of its own, with one upstream."""
 
+    sockets = 1024
+
     def __init__(self, path: Path) -> None:
         self.path = path
         self.world = World()
@@ -53,10 +56,10 @@
         self.config = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "ab12",
             "discovery": f"127.0.0.1:{self.world.discovery.port}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": self.world.list(self.world.host(0)), "settings": self.world.settings,
         }  # fmt: skip
-        self.process = await spawn(self.config, self.path)
+        self.process = await spawn(self.config, self.path, self.sockets)
         for _ in range(1000):
             try:
                 if (await self.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200:
@@ -79,8 +82,9 @@
 
 
 @asynccontextmanager
-async def program(path: Path) -> AsyncIterator[Program]:
+async def program(path: Path, sockets: int = 1024) -> AsyncIterator[Program]:
     it = Program(path / "config.json")
+    it.sockets = sockets
     await it.start()
     try:
         yield it
@@ -182,6 +186,53 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("sockets", [256, 1024])
+def test_idle_clients_over_the_bound_leave_room_for_what_has_to_go_on(tmp_path: Path, sockets: int) -> None:
+    """Before, during and after an outage of discovery, and after a stop in which more came than fit."""
+
+    async def test() -> None:
+        idle: list[socket.socket] = []
+
+        def crowd() -> None:
+            for _ in range(sockets + sockets // 2):
+                idle.append(socket.socket())
+                idle[-1].setblocking(False)
+                idle[-1].connect_ex(("127.0.0.1", it.port))
+
+        async def serves() -> None:
+            answers = await asyncio.gather(*(it.ask(request("pay", b"")) for _ in range(20)))
+            assert {answer.status for answer in answers} == {200}
+
+        async with program(tmp_path, sockets) as it:
+            assert it.process.stderr is not None
+            crowd()
+            await serves()
+            await it.world.discovery.stop()
+            crowd()
+            await serves()
+            it.process.send_signal(signal.SIGSTOP)
+            crowd()
+            asking = asyncio.ensure_future(serves())
+            await asyncio.sleep(0)
+            it.process.send_signal(signal.SIGCONT)
+            await asking
+            watches = len(it.world.watches)
+            await it.world.discovery.start(it.world.discovery.port)
+            await until(lambda: len(it.world.watches) > watches)
+            it.process.send_signal(signal.SIGHUP)
+            assert b"in force" in await asyncio.wait_for(it.process.stderr.readline(), 20)
+            crowd()
+            await serves()
+            assert len(os.listdir(f"/proc/{it.process.pid}/fd")) < sockets
+            it.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(it.process.wait(), 10) == 0
+            assert not (await it.process.stderr.read()).count(b"Traceback")
+            for sock in idle:
+                sock.close()
+
+    uvloop.run(test())
+
+
 def test_sigkill_and_a_start_again_under_the_same_address(tmp_path: Path) -> None:
     async def test() -> None:
         async with program(tmp_path) as it:
