Connections to upstreams rest for 10 ms before they carry the next request

Cause: Upstream.take lent a connection in the instant in which its last answer had ended; a second copy of that answer, some milliseconds late, was parsed as the answer to the next request and served to another client. Nothing in the protocol ties an answer to its request. Ruled out: copies that lie in the kernel when it is lent (stands() peeks), copies in one piece with the answer (not kept). Change: the newest connection that has rested is used; else another is opened. Measured: with no rest the next client is given b'first' in the forced crossing; with it b'second'.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -23,6 +23,7 @@
 JOIN_BYTES = 64 * 1024
 PAUSE_S = 0.15
 REUSE_SHARE = 0.6
+REST_S = 0.01  # an upstream that answers twice does so within some milliseconds
 STALL_S = 4.0  # a long answer pauses for a tenth of a second; one this silent is broken
 # Hop-by-hop fields, and those that are framed or consumed here
 DROPPED = frozenset(
@@ -153,8 +154,10 @@
             self.idle.pop().close()
 
     def take(self) -> Connection | None:
-        while self.idle:
-            connection = self.idle.pop()
+        """The newest that has rested: what comes late behind an answer would be taken for the next one's."""
+        before = self.pool.now() - REST_S
+        for connection in [c for c in reversed(self.idle) if c.idle_since <= before]:
+            self.idle.remove(connection)
             if connection.stands():
                 return connection
             connection.close()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,6 +13,7 @@
 import uvloop
 from peers import SETTINGS, Message, World, reply, request, run, until
 
+from quartzford.backends import http1
 from quartzford.backends.http1 import Connection
 from quartzford.decision import interface as io
 
@@ -270,6 +271,40 @@
         assert len(world.ups[0].came) == 1
 
 
+@pytest.mark.parametrize("late", [b"", reply(b"first"), b"noise", b"HTTP/1.1 200 OK\r\n"])
+def test_what_comes_late_behind_an_answer_is_not_the_next_request_s(
+    late: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection was lent again at once: a second copy of its answer was served to the next client."""
+    monkeypatch.setattr(http1, "REST_S", 3.0)
+
+    async def test() -> None:
+        async with World() as world:
+            first: list[asyncio.StreamWriter] = []
+
+            async def twice(message: Message, writer: asyncio.StreamWriter) -> None:
+                if not first:
+                    first.append(writer)
+                    return writer.write(reply(b"first"))
+                if len(world.ups[0].came) == 2:
+                    first[0].write(late)
+                    await first[0].drain()
+                    await asyncio.sleep(0.01)
+                writer.write(reply(b"second"))
+
+            world.ups[0].script = twice
+            assert (await world.ask(request("pay", b""))).body == b"first"
+            assert (await world.ask(request("pay", b""))).body == b"second"
+            upstream = world.node.pool.upstreams["s0"]
+            await until(lambda: len(world.node.pool.connections) == 1 + (not late))
+            for connection in upstream.idle:
+                connection.idle_since -= 3.0  # rested: the newest one is used again
+            assert (await world.ask(request("pay", b""))).body == b"second"
+            assert len(world.ups[0].writers) == 2
+
+    uvloop.run(test())
+
+
 @run
 async def test_with_no_descriptor_left_for_an_attempt_its_upstream_is_not_blamed() -> None:
     """The error came up in a task that nobody waited for: the attempt was out until its time was up."""
