An answer that is passed on is broken off 0.4 s past its request's time

Cause: Attempt._stream took the attempt's timer away, and the guard on overdue requests passes over what streams; an answer that goes on without end kept its client waiting for as long as bytes came (3 GB announced, chunks, no length). Ruled out: answers that stop (STALL_S ends them), answers under 64 KB (given up at their time). It ends so that the client can tell, and the upstream is blamed unless the client reads too slowly. Measured: six forms never ended before, all end within 1.2 s of a request of 0.7 s now.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -24,6 +24,7 @@
 PAUSE_S = 0.15
 REUSE_SHARE = 0.6
 REST_S = 0.01  # an upstream that answers twice does so within some milliseconds
+OVERLONG_S = 0.4  # past its request's time, for the last bytes of an answer that is passed on
 STALL_S = 4.0  # a long answer pauses for a tenth of a second; one this silent is broken
 # Hop-by-hop fields, and those that are framed or consumed here
 DROPPED = frozenset(
@@ -471,12 +472,20 @@
             self.timer = None
         self.pool.streams.add(self)
         self.pool.engine.started(self)
+        if not self.call.streams:  # only streamed classes have no deadline once their answer has begun
+            left = self.call.deadline + OVERLONG_S - self.pool.now()
+            self.timer = self.pool.clock.call_later(left, self._overlong)
         self.call.begin(connection.fields, connection.length)
         chunks, self.chunks = self.chunks, []
         self.call.release()
         for data in chunks:
             self.call.write(data)
 
+    def _overlong(self) -> None:
+        """It goes on past its request's time, and may never end: its client is shown that it is not whole."""
+        self.timer = None
+        self.fail("cancelled" if self.call.stuck() else "timeout")
+
     def pause(self, paused: bool) -> None:
         self.moved = self.pool.now()
         if self.connection is not None and not self.connection.transport.is_closing():
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 import uvloop
@@ -305,6 +306,41 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("field", ["", "Content-Length: 3000000000\r\n", "Transfer-Encoding: chunked\r\n"])
+@pytest.mark.parametrize("slow", [False, True])
+def test_an_answer_that_never_ends_is_broken_off_when_its_time_is_up(field: str, slow: bool) -> None:
+    """Once it was passed on no deadline held: its client waited for as long as bytes came. slow: few."""
+
+    async def test() -> None:
+        async with World() as world:
+
+            async def endless(message: Message, writer: asyncio.StreamWriter) -> None:
+                piece = b"e" * (200 if slow else 20_000)
+                writer.write(f"HTTP/1.1 200 OK\r\n{field}\r\n".encode())
+                while not writer.transport.is_closing():
+                    writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if "chunked" in field else piece)
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+
+            world.ups[0].script = endless
+            loop = asyncio.get_running_loop()
+            before = loop.time()
+            sock = await raw(world)
+            sock.send(request("pay", b"", "Connection: close\r\n", left="700m"))
+            data = b""
+            with suppress(ConnectionResetError):
+                data = await asyncio.wait_for(read_all(sock), 5)
+            assert loop.time() - before < 1.2 and not world.node.engine.calls
+            # Its client can tell: a reset, fewer bytes than its length says, or chunks with no last one.
+            head, _, body = data.partition(b"\r\n\r\n")
+            assert not data or b" 502 " in head or b"3000000000" in head or b"chunked" in head
+            assert not body.endswith(b"0\r\n\r\n")
+            await until(lambda: not world.node.pool.connections and not world.node.pool.streams)
+            sock.close()
+
+    uvloop.run(test())
+
+
 @run
 async def test_with_no_descriptor_left_for_an_attempt_its_upstream_is_not_blamed() -> None:
     """The error came up in a task that nobody waited for: the attempt was out until its time was up."""
