--- a/bench/fleetmodel.py
+++ b/bench/fleetmodel.py
@@ -45,6 +45,7 @@
     io.ServiceClass("cobro", 600.0, DEADLINE_MS, worth=8.0, effect="unsafe"),
 )
 SHARES, WORK_MS = (0.47, 0.43, 0.10), (115.0, 150.0, 130.0)
+MEAN_MS = sum(share * work for share, work in zip(SHARES, WORK_MS, strict=True))
 LOAD = 0.6
 EPOCH_MS = 1e6  # the clock's start: times near 0 stand for long ago in the list
 
@@ -59,9 +60,11 @@
 
 
 class Plan(NamedTuple):
-    """What happens to whom. event: zone, join, restart, cold restart, bad or calm, at 4 s; cold start, at 0.
+    """What happens to whom.
 
-    rate: the part of the usual traffic.
+    event: zone, join, restart, cold restart, newcomer, handover, bad or calm, at 4 s; cold start, at 0.
+
+    rate: the part of the usual traffic. uneven: of the balancers a tenth sees five times what the others do.
     """
 
     balancers: int
@@ -71,6 +74,7 @@
     seed: int = 1
     asked: bool = False
     rate: float = 1.0
+    uneven: bool = False
 
 
 @dataclass(eq=False)
@@ -92,6 +96,9 @@
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # while cold: when, work
     window: float = 0.0
     highest: float = 0.0  # multiple of what it could do
+    use: float = (
+        0.0  # of the bound: N calls of mean work that the settings allow, 2 x root of N and 2 for chance
+    )
 
     def warmth(self, now: float) -> float:
         return 1.0 if not self.born else min(1.0, START + (1 - START) * (now - self.born) / COLD_MS)
@@ -106,6 +113,8 @@
             self.window -= self.sent.popleft()[1]
         can = self.warmth(now) * self.speed * CORES * FALL_MS
         self.highest = max(self.highest, self.window / can)
+        allowed = TIP * can / MEAN_MS
+        self.use = max(self.use, self.window / MEAN_MS / (allowed + 2 * math.sqrt(allowed) + 2))
         return self.window <= TIP * can
 
     def entry(self, state: str) -> io.Entry:
@@ -154,6 +163,7 @@
     def __init__(self, world: World, number: int) -> None:
         self.world, self.number, self.zone = world, number, ZONES[number % len(ZONES)]
         self.up = True
+        self.leaving = False  # another process has its place: nothing new comes here
         self.lives = 0
         self.begin()
 
@@ -307,6 +317,7 @@
         self.offered, self.got = [0.0] * seconds, [0.0] * seconds
         self.sent, self.timeouts = [0] * seconds, [0] * seconds  # attempts, by the second of their send
         self.held_most = 0  # connections at one upstream
+        self.ended: list[Upstream] = []  # lives that were cold once
         born = EPOCH_MS if plan.event == "cold start" else 0.0
         self.upstreams = [self.make(n, born) for n in range(plan.upstreams)]
         self.nodes = [Node(self, n) for n in range(plan.balancers)]
@@ -356,8 +367,11 @@
         self.place(ask)
 
     def place(self, ask: Ask) -> None:
-        up = [node for node in self.nodes if node.up]
-        if up:
+        up = [node for node in self.nodes if node.up and not node.leaving]
+        if up and self.plan.uneven:
+            weights = [5.0 if node.number % 10 == 0 else 1.0 for node in up]
+            self.rng.choices(up, weights)[0].arrive(ask)
+        elif up:
             self.rng.choice(up).arrive(ask)
 
     def again(self, ask: Ask, pause: float) -> None:
@@ -413,6 +427,7 @@
     def kill(self, upstream: Upstream) -> None:
         """The process dies: connections break at once."""
         upstream.dead, upstream.held = True, 0
+        self.ended.append(upstream)
         upstream.waiting.clear()
         for node in self.nodes:
             node.idle.pop(upstream, None)
@@ -462,6 +477,34 @@
     def cold_start_event(self) -> None:
         """Everything started with the clock: balancers that know nothing, upstreams that are all cold."""
 
+    def newcomer_event(self) -> None:
+        """A tenth of the upstreams falls silent, and one newcomer is told."""
+        for upstream in self.upstreams[::10]:
+            upstream.silent = True
+        fresh = self.make(900, self.now)
+        self.upstreams.append(fresh)
+        self.announce([(fresh, "ready")], 1_000.0)
+
+    def handover_event(self) -> None:
+        """Half of the upstreams have just been replaced, and each balancer by a process that follows it."""
+        self.replace(self.upstreams[::2], 0)
+        for n, node in enumerate(list(self.nodes)):
+            self.later(1_500.0 + 3_000.0 * n / len(self.nodes), functools.partial(self.follow, node))
+
+    def follow(self, old: Node) -> None:
+        """A second process: it has what the first knew, and the first ends what it has."""
+        new = Node(self, old.number)
+        new.known = dict(old.known)
+        listed = [
+            (upstream, "ready" if upstream.name in {s.entry.server for s in old.module.ready} else "draining")
+            for upstream in old.known.values() if upstream.name in old.module.servers
+        ]  # fmt: skip
+        memory = old.module.hand_over(self.now)
+        new.tell("stale", listed)
+        new.module.inherit(self.now, memory)
+        old.leaving = True
+        self.nodes.append(new)
+
     def cold_restart_event(self) -> None:
         """Half of the upstreams have just been replaced, and three quarters of the balancers die."""
         self.replace(self.upstreams[::2], 0)
@@ -550,6 +593,7 @@
             "opened": sum(self.opened.values()),
             "held_most": self.held_most,
             "cold_multiple": round(max((u.highest for u in fresh), default=0.0), 2),
+            "cold_use": round(max((u.use for u in (*self.upstreams, *self.ended)), default=0.0), 3),
             "fallen": self.fallen,
             "outcomes": dict(self.outcomes.most_common()),
             "refused": self.counts["refused"],
