A request's last byte: no resend past the keyed window, no answer ahead of it

Cause: Engine.stands asked for the window when a connection was up; a large body went on leaving after the window had ended, and the upstream, which begins with the last byte, had forgotten the key. An answer that came while the body was still being written was served (Connection._advance), though no upstream can have made it for this request. Ruled out: a drain told between the choice and the first byte, a rebirth under another id, a break before, in and after the last byte (tests of before hold them). Change: the module says for how long a send stands; what has not left by then breaks off, so it never is whole there. A 200 ahead of the last byte ends the attempt as one that may have run.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -269,6 +269,9 @@
     def _advance(self, attempt: Attempt, size: int) -> None:
         if self.attempt is not attempt:
             return
+        if self.status == 200 and not self.flushed:
+            # Nobody has the whole request yet: what comes is no answer to it, or to half of it.
+            return attempt.fail("reset")
         if self.complete:
             return attempt.finish()
         if not self.status:
@@ -290,7 +293,9 @@
         attempt = self.attempt
         if attempt is None:
             return self.upstream.drop(self)
-        until_close = self.status and self.length is None and not self.chunked and not self.broken
+        until_close = (
+            self.status and self.flushed and self.length is None and not self.chunked and not self.broken
+        )
         if until_close and clean:
             self.complete = self.broken = True
             return attempt.finish()
@@ -427,6 +432,13 @@
         self.connection, self.written = connection, self.pool.now()
         left = min(self.due, self.call.deadline) - self.pool.now()
         connection.begin(self, self.call.upstream_head(left), self.call.body)
+        if not connection.flushed and (stands := self.pool.engine.stands_for(self)) < math.inf:
+            self.pool.clock.call_later(stands, self._unwritten)
+
+    def _unwritten(self) -> None:
+        """It may not be made any more, and its last byte has not left: the server never has the whole."""
+        if not self.over and self.connection is not None and not self.connection.flushed:
+            self.fail("connect_failed")
 
     def _timed_out(self) -> None:
         self.timer = None
--- a/quartzford/decision/logic.py
+++ b/quartzford/decision/logic.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field, replace
@@ -166,17 +167,22 @@
         kind = self.classes.get(name)
         return max(self.usual.get(name, kind.aim_ms / 4 if kind is not None else 1.0), 0.1)
 
-    def stands(self, now_ms: float, request: int) -> bool:
+    def stands_for(self, now_ms: float, request: int) -> float:
+        """So many ms more a request's last send may be written: its last byte, too. 0 if it may not."""
         self.now, flight = max(self.now, now_ms), self.flights.get(request)
-        first = flight is not None and flight.bound_attempt == flight.sends - 1
-        return flight is not None and self.now < flight.give_up and (first or self._may_send(flight))
+        if flight is None or self.now >= flight.give_up:
+            return 0.0
+        return math.inf if flight.bound_attempt == flight.sends - 1 else self._window(flight)
 
-    def _may_send(self, flight: Flight) -> bool:
+    def _window(self, flight: Flight) -> float:
         """No effect twice: what may have run goes again only if it is free, or keyed and in its window."""
         if flight.bound is None or flight.kind.effect == "free":
-            return True
-        window = flight.kind.window_ms - self.settings.tick_ms
-        return flight.kind.effect == "keyed" and self.now - flight.bound_ms < window
+            return math.inf
+        window = flight.kind.window_ms - self.settings.tick_ms if flight.kind.effect == "keyed" else 0.0
+        return max(0.0, window - (self.now - flight.bound_ms))
+
+    def _may_send(self, flight: Flight) -> bool:
+        return self._window(flight) > 0.0
 
     def _end(self, flight: Flight, cause: str, over_share: bool = False) -> None:
         """The final answer: a refusal where that is true of the request, else a failure."""
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -193,12 +193,13 @@
 
     def stands(self, attempt: Attempt) -> bool:
         """The decision behind an attempt not begun still holds; of its server, the backend knows."""
-        call = attempt.call
-        return (
-            not call.done
-            and self.clock.now() < attempt.due
-            and self.balancer.stands(self.clock.unix_ms(), call.number)
-        )
+        return self.stands_for(attempt) > 0.0
+
+    def stands_for(self, attempt: Attempt) -> float:
+        """Seconds for which it holds, up to the request's last byte; 0 if it doesn't any more."""
+        if attempt.call.done or self.clock.now() >= attempt.due:
+            return 0.0
+        return self.balancer.stands_for(self.clock.unix_ms(), attempt.call.number) / 1000.0
 
     def started(self, attempt: Attempt) -> None:
         """The attempt's answer is being passed on from now: it can't be taken back."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -156,6 +156,7 @@
         self.events: list[io.Event] = []
         self.actions: list[io.Action] = []
         self.clients: list[asyncio.StreamWriter] = []
+        self.tasks: list[asyncio.Task[None]] = []  # of peers that a test makes itself
 
     def host(self, number: int, health: str = "ready", born: float = 0, **changes: Any) -> dict[str, Any]:
         return {
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -426,3 +426,99 @@
         data = await asyncio.wait_for(read_all(sock), 2)
         assert data.count(b"h" * 1000) and len(data) < 300_000 and not world.node.engine.calls
         sock.close()
+
+
+# ---- a request's last byte
+
+
+async def narrow(
+    world: World, number: int, script: Callable[[socket.socket], Awaitable[None]]
+) -> socket.socket:
+    """Upstream `number` takes a body as slowly as the script reads it."""
+    loop = asyncio.get_running_loop()
+    server = socket.socket()
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    server.bind(("127.0.0.1", 0))
+    server.listen()
+    server.setblocking(False)
+    world.ups[number].port = server.getsockname()[1]
+
+    async def serve() -> None:
+        sock, _ = await loop.sock_accept(server)
+        sock.setblocking(False)
+        with suppress(OSError):
+            await script(sock)
+        sock.close()
+
+    world.tasks.append(loop.create_task(serve()))
+    return server
+
+
+@run
+async def test_a_keyed_request_whose_window_ends_while_it_is_written_again_is_never_whole_there() -> None:
+    """Choice and first byte lay within the window, the last byte past it: the key is forgotten there."""
+    loop = asyncio.get_running_loop()
+    classes = [dict(kind, memorySpanMs=600.0) for kind in SETTINGS["classes"]]
+    async with World(2, classes=classes) as world:
+        got = 0
+        broken = asyncio.Event()
+
+        async def breaks(message: Message, writer: asyncio.StreamWriter) -> None:
+            world.news(world.host(0, "draining"), world.host(1))
+            await until(lambda: world.node.pool.upstreams["s1"].ready)
+            broken.set()
+            writer.transport.abort()
+
+        async def reads(sock: socket.socket) -> None:
+            nonlocal got
+            await broken.wait()
+            await asyncio.sleep(1.0)  # past the window
+            while piece := await loop.sock_recv(sock, 1_000_000):
+                got += len(piece)
+
+        server = await narrow(world, 1, reads)
+        world.ups[0].script = breaks
+        world.news(world.host(0), world.host(1, "draining"))
+        await until(lambda: not world.node.pool.upstreams["s1"].ready)
+        size = 20_000_000
+        answer = await world.ask(request("book", b"k" * size, left="2900m"))
+        outcomes = world.outcomes()
+        assert answer.status == 502 and outcomes[:2] == ["reset", "connect_failed"]
+        assert set(outcomes[2:]) <= {"moot"}  # nothing else was written
+        await until(lambda: all(task.done() for task in world.tasks))
+        assert len(world.ups[0].came[0].body) == size and 0 < got < size
+        server.close()
+
+
+EARLY = (reply(b"early"), b"HTTP/1.1 200 OK\r\n\r\nhalf", b"HTTP/1.1 200 OK\r\nContent-Le")
+
+
+@pytest.mark.parametrize("name", ["pay", "read"])
+@pytest.mark.parametrize("early", EARLY)
+def test_an_answer_ahead_of_the_request_s_last_byte_is_not_served(name: str, early: bytes) -> None:
+    """An upstream begins with the last byte: what comes before it was made for something else."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with World(2) as world:
+
+            async def answers(sock: socket.socket) -> None:
+                await loop.sock_recv(sock, 1000)
+                world.news(world.host(0, "draining"), world.host(1))
+                await until(lambda: world.node.pool.upstreams["s1"].ready)
+                await loop.sock_sendall(sock, early)
+                await asyncio.sleep(0.1)
+
+            server = await narrow(world, 0, answers)
+            world.news(world.host(0), world.host(1, "draining"))
+            await until(lambda: not world.node.pool.upstreams["s1"].ready)
+            body = b"b" * 12_000_000
+            answer = await world.ask(request(name, body, method="POST"))
+            if name == "pay" and world.outcomes()[0] == "reset":
+                assert answer.status == 502 and not world.ups[1].came
+            else:
+                assert answer.body == b"done" and world.ups[1].came[0].body == body
+            assert world.outcomes()[0] in ("reset", "connect_failed")
+            server.close()
+
+    uvloop.run(test())
