Deadlines beyond a class's own are cut to it; deployments held apart by tests

Ruled out: deadlines that can't be read, negative, infinite or zero (the class's own is taken, or it is refused). Change: min of what the client says and its class's deadline; for unknown classes the longest.

--- a/quartzford/fronts/http1.py
+++ b/quartzford/fronts/http1.py
@@ -493,9 +493,10 @@
             return exchange, None
         name = read.get("name", "")
         kind = engine.classes.get(name)
-        left = read_time_left(read.get("left", "").strip())
-        if left is None:
-            left = kind.deadline_ms if kind is not None else engine.longest_ms
+        # No client waits longer than its class says, whatever it writes.
+        most = kind.deadline_ms if kind is not None else engine.longest_ms
+        told = read_time_left(read.get("left", "").strip())
+        left = most if told is None else min(told, most)
         exchange.streams = kind is not None and kind.streaming
         exchange.deadline = self.front.now() + left / 1000.0
         exchange.number, exchange.label = engine.next_number(), read.get("id", "")
--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,191 @@
+"""Nothing of one deployment, class or tenant is found in another: names, effects and limits come from the
+settings alone, and a request ends by those that it came with."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from peers import SETTINGS, Message, World, read_message, request, run, silent, until
+
+from quartzford.settings.platform import read_config
+
+ROOT = Path(__file__).resolve().parent.parent
+SITES = sorted((ROOT / "deploy" / "sites").glob("*.toml"))
+EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
+
+
+def kind(name: str, effect: str, **more: Any) -> dict[str, Any]:
+    return {"name": name, "sloMs": 2500.0, "deadlineMs": 3000.0, "value": 1.0, "effect": effect} | more
+
+
+def settings_of(path: Path) -> dict[str, Any]:
+    """A site file's classes and tenants in the platform's words."""
+    site = tomllib.loads(path.read_text())
+    classes = [
+        {
+            "name": c["name"], "effect": EFFECTS[c["effect"]], "group": c.get("group", "all"),
+            "memorySpanMs": float(c.get("window_ms", 0.0)), "sloMs": float(c["aim_ms"]),
+            "deadlineMs": float(c["deadline_ms"]), "value": c["worth"],
+        }
+        for c in site["class"]
+    ]  # fmt: skip
+    tenants = [{"name": t["name"], "quotaPerS": 1000.0 * t["share"]} for t in site.get("tenant", ())]
+    limits = SETTINGS["limits"] | {"maxAttempts": site["allow"]["max_attempts"]}
+    return {"classes": classes, "customers": tenants, "limits": limits}
+
+
+def reload(world: World, **settings: Any) -> None:
+    """What SIGHUP does with a new file."""
+    port = world.discovery.port
+    config = {
+        "name": "n0", "listen": f"127.0.0.1:{world.port}", "discovery": f"127.0.0.1:{port}", "seed": "5",
+        "limits": {"memory_mb": 192, "sockets": 1024}, "known": {}, "settings": SETTINGS | settings,
+    }  # fmt: skip
+    world.node.reconfigure(read_config(json.dumps(config)))
+
+
+async def breaks(message: Message, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+def rich(world: World) -> None:
+    """Retries to spend: what is looked at is who may have any."""
+    world.node.engine.balancer.retry_budget = 10.0
+
+
+def asked(name: str, keyed: bool = False, left: str = "2500m") -> bytes:
+    fields = "Idempotency-Key: k9\r\n" if keyed else ""
+    return request(name, b"", fields, left=left).replace(b"X-Account: acme\r\n", b"X-Account: nobody\r\n")
+
+
+@pytest.mark.parametrize("path", SITES, ids=[path.stem for path in SITES])
+def test_each_class_of_a_deployment_is_repeated_as_its_own_effect_says(path: Path) -> None:
+    """The connection breaks behind each request's last byte: it may have run. The names of these classes mean
+    something else on other sites."""
+    told = settings_of(path)
+
+    async def test() -> None:
+        async with World(6, **told) as world:
+            for up in world.ups:
+                up.script = breaks
+            for one in told["classes"]:
+                before = sum(len(up.came) for up in world.ups)
+                rich(world)
+                answer = await world.ask(asked(one["name"], one["effect"] == "guarded", "2500m"))
+                sends = sum(len(up.came) for up in world.ups) - before
+                if one["effect"] == "single_shot":
+                    assert sends == 1 and answer.status == 502
+                else:
+                    assert sends == min(told["limits"]["maxAttempts"], 6), one["name"]
+                    refusable = one["effect"] == "free" or one["group"] == "all"
+                    assert answer.status == (503 if refusable else 502)
+
+    assert SITES
+    uvloop.run(test())
+
+
+@run
+async def test_classes_swapped_by_a_reload_leave_what_is_out_to_the_settings_it_came_with() -> None:
+    """Held back at the upstreams: one that is unsafe and one that is safe; then the names change places."""
+    limits = {**SETTINGS["limits"], "maxAttempts": 3}
+    before = [kind("left", "single_shot"), kind("right", "free")]
+    after = [
+        kind("left", "free", deadlineMs=900.0, sloMs=900.0),
+        kind("right", "single_shot"),
+        kind("new", "free"),
+    ]
+    async with World(3, classes=before, limits=limits) as world:
+        gate = asyncio.Event()
+
+        async def held(message: Message, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.transport.abort()
+
+        for up in world.ups:
+            up.script = held
+
+        def sends(name: str) -> int:
+            return sum(m.fields["x-service-class"] == name for up in world.ups for m in up.came)
+
+        old = [asyncio.ensure_future(world.ask(asked(name))) for name in ("left", "right")]
+        await until(lambda: sends("left") == sends("right") == 1)
+        reload(world, classes=after, limits=limits)
+        rich(world)
+        gate.set()
+        assert [answer.status for answer in await asyncio.gather(*old)] == [502, 503]
+        assert (sends("left"), sends("right")) == (1, 3)
+        new = []
+        for name in ("left", "right", "new"):
+            rich(world)
+            new.append(await world.ask(asked(name)))
+        assert [answer.status for answer in new] == [503, 502, 503]
+        assert (sends("left"), sends("right"), sends("new")) == (4, 4, 3)
+        for up in world.ups:
+            up.script = silent
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await world.ask(asked("left", left="900m"))
+        assert loop.time() - begun < 1.2  # the new limit of the same name
+
+
+@run
+async def test_tenants_with_names_alike_have_their_own_quota_and_a_site_without_any_has_none() -> None:
+    tenants = [
+        {"name": "norte", "quotaPerS": 500.0}, {"name": "norte-alto", "quotaPerS": 5.0},
+        {"name": "norte-alto-2", "quotaPerS": 50.0},
+    ]  # fmt: skip
+    async with World(2, customers=tenants) as world:
+        quota = world.node.engine.balancer.admission.quota
+        assert quota == {"norte": 0.5, "norte-alto": 0.005, "norte-alto-2": 0.05}
+        for _ in range(40):
+            text = request("pay", b"").replace(b"acme", b"norte-alto")
+            assert (await world.ask(text)).status == 200
+        admission = world.node.engine.balancer.admission
+        now = world.node.clock.unix_ms()
+        assert admission.within(now, "norte-alto") < 1.0 and set(admission.rates) == {"norte-alto"}
+        text = request("pay", b"").replace(b"acme", b"norte")
+        assert (await world.ask(text)).status == 200 and admission.within(now, "norte") == 1.0
+        reload(world, customers=[])
+        assert admission.quota == {} and (await world.ask(request("pay", b""))).status == 200
+        assert admission.within(now, "norte-alto") == 1.0
+
+
+@run
+async def test_a_name_that_another_deployment_has_is_unknown_here_and_unsafe() -> None:
+    async with World(3, classes=[kind("only", "free")], customers=[]) as world:
+        for up in world.ups:
+            up.script = breaks
+        for name in ("read", "consulta", "view-schedule", "Only", "on", "only-more"):
+            before = sum(len(up.came) for up in world.ups)
+            rich(world)
+            assert (await world.ask(asked(name, keyed=True))).status in (502, 503)
+            sends = sum(len(up.came) for up in world.ups) - before
+            assert sends == 1, name
+        rich(world)
+        await world.ask(asked("only"))
+        assert sum(len(up.came) for up in world.ups) > 6
+
+
+@pytest.mark.parametrize("left", ["abc", "", "-5m", "1e400m", "nanm", "infm", "999999999m", "12q", "5"])
+def test_a_deadline_that_cannot_be_is_no_reason_to_wait_for_ever(left: str) -> None:
+    """An upstream hangs, a late answer is worth something: the class's own deadline holds then."""
+    classes = [kind("pay", "single_shot", deadlineMs=800.0, sloMs=300.0, lateWorth=0.5)]
+
+    async def test() -> None:
+        async with World(classes=classes) as world:
+            world.ups[0].script = silent
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            reader, writer = await world.connect()
+            writer.write(request("pay", b"", left=left))
+            answer = await asyncio.wait_for(read_message(reader), 3)
+            assert answer.status >= 400 and loop.time() - begun < 1.2
+            assert not world.node.engine.calls and len(world.ups[0].came) <= 1
+
+    uvloop.run(test())
