--- a/tests/peers.py
+++ b/tests/peers.py
@@ -62,6 +62,24 @@
         await asyncio.sleep(0.005)
 
 
+class Lag:
+    """How late this loop was at the worst while the block ran: a busy machine is no fault of the program."""
+
+    async def __aenter__(self) -> Lag:
+        self.worst = 0.0
+        self.task = asyncio.ensure_future(self._tick())
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.task.cancel()
+
+    async def _tick(self) -> None:
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.005)
+            self.worst = max(self.worst, time.monotonic() - before - 0.005)
+
+
 async def read_message(reader: asyncio.StreamReader, head_only: bool = False) -> Message:
     """The next message; IncompleteReadError where it is not whole."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
