Connections that carried no 200 are lent again at once

Cause: the rest of 10 ms before (Upstream.take) held for every answer. Change: only what carried a 200 rests; a second copy is seen behind good answers, and that is what could be served to another.

--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -155,9 +155,12 @@
             self.idle.pop().close()
 
     def take(self) -> Connection | None:
-        """The newest that has rested: what comes late behind an answer would be taken for the next one's."""
+        """The newest that has rested: what comes late behind an answer would be taken for the next one's.
+
+        What was turned away or failed needs no rest: a flood of it would open a connection for each request.
+        """
         before = self.pool.now() - REST_S
-        for connection in [c for c in reversed(self.idle) if c.idle_since <= before]:
+        for connection in [c for c in reversed(self.idle) if c.status != 200 or c.idle_since <= before]:
             self.idle.remove(connection)
             if connection.stands():
                 return connection
