--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,7 +12,7 @@
 
 import pytest
 import uvloop
-from peers import SETTINGS, Lag, Message, World, reply, request, run, until
+from peers import SETTINGS, Lag, Message, World, read_message, reply, request, run, until
 
 from quartzford.backends import http1
 from quartzford.backends.http1 import Connection
@@ -48,6 +48,12 @@
     return script
 
 
+def set_event() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
 # ---- a client's connection
 
 
@@ -343,6 +349,20 @@
     uvloop.run(test())
 
 
+@run
+async def test_a_flood_that_is_turned_away_opens_no_connection_for_each_request() -> None:
+    """What carried no good answer is lent again at once."""
+    async with World(5) as world:
+        for up in world.ups:
+            up.script = gated(set_event(), reply(b"", "400 Bad Request"))
+        reader, writer = await world.connect()
+        for _ in range(200):
+            writer.write(request("pay", b""))
+            assert (await read_message(reader)).status == 502
+        assert sum(len(up.came) for up in world.ups) == 200
+        assert sum(len(up.writers) for up in world.ups) <= 5
+
+
 @run
 async def test_with_no_descriptor_left_for_an_attempt_its_upstream_is_not_blamed() -> None:
     """The error came up in a task that nobody waited for: the attempt was out until its time was up."""
