Test: the load tool's interruption is heard in a background job, too

Cause: a shell starts its background jobs with SIGINT ignored, and the tool, as it should, leaves that so; the test then waited 30 s for an end that nobody asked for. The test hands the tool the usual answer to the signal and asks for the same as before.

--- a/tests/test_load_sockets.py
+++ b/tests/test_load_sockets.py
@@ -298,11 +298,15 @@
 
 
 def test_interruption_prints_what_was_measured(tmp_path: Path) -> None:
+    def heard() -> None:
+        signal.signal(signal.SIGINT, signal.SIG_DFL)  # a shell's background jobs are started deaf to it
+
     with server("none") as (target, _):
         path = tmp_path / "r.json"
         process = command(
-            "--target", f"127.0.0.1:{target.port}", "--seconds", "60", "--json", str(path), "--late-ms", "1e6"
-        )
+            "--target", f"127.0.0.1:{target.port}", "--seconds", "60", "--json", str(path), "--late-ms", "1e6",
+            preexec_fn=heard,
+        )  # fmt: skip
         assert process.stderr is not None
         assert process.stderr.readline().startswith(b"playing")
         time.sleep(2.0)
