--- a/tests/test_load_sockets.py
+++ b/tests/test_load_sockets.py
@@ -304,8 +304,8 @@
     with server("none") as (target, _):
         path = tmp_path / "r.json"
         process = command(
-            "--target", f"127.0.0.1:{target.port}", "--seconds", "60", "--json", str(path), "--late-ms", "1e6",
-            preexec_fn=heard,
+            "--target", f"127.0.0.1:{target.port}", "--seconds", "60", "--json", str(path),
+            "--late-ms", "1e6", preexec_fn=heard,
         )  # fmt: skip
         assert process.stderr is not None
         assert process.stderr.readline().startswith(b"playing")
