docs/CAPACITY.md: the target's size by role and event, generated from measured figures

Need: the operators decide the design by a page that says what each role carries at 4,600 balancers and 63,000 upstreams, worked out from measured slopes, with the mechanism that carries it and what is missing, ranked.

What no run backs is "not measured": slopes and scale run are not there yet.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,125 @@
+"""The capacity page's generated blocks: python -m bench.capacity [--write] [--calls].
+
+Reads slopes.json, scale.json and capacity_calls.json in docs/measurements, as far as they are there, and
+works out the blocks of docs/CAPACITY.md (bench/capacity_model.py). Without --write nothing is changed, and
+the command ends with 1 and the blocks' names where page and figures part. --calls plays `bench.callmodel` at
+the target's size first, some half a minute, and writes capacity_calls.json. Exit 2: a file can't be used.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib.util
+import json
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+from bench import capacity_page as page
+from bench.callmodel import PER_S, TROUBLES, Model
+from bench.capacity_inputs import (
+    Figures,
+    InputError,
+    Program,
+    Protocol,
+    Target,
+    read_calls,
+    read_scale,
+    read_slopes,
+)
+from bench.capacity_model import WANTED
+from bench.capacity_model import Model as Capacity
+from bench.common import ROOT
+from quartzford.decision.workingset import LEAST, MEET_MS
+from quartzford.membership.calls import QUEUE_S, SMALL, TOLD_S
+from quartzford.membership.watch import LINE_BYTES
+from quartzford.node import LISTS_PER_S
+
+PAGE = Path("docs/CAPACITY.md")
+SLOPES, SCALE, CALLS = "slopes.json", "scale.json", "capacity_calls.json"
+LOG_LINES_PER_S = 5.0  # README, log lines
+CALL_SERVICES = ("queues", "turns away")
+COMMAND = "python -m bench.capacity --calls"
+
+T = TypeVar("T")
+
+
+def program() -> Program:
+    """The bounds in this checkout's code."""
+    return Program(
+        calls_per_s=LISTS_PER_S, spread_s=TOLD_S - QUEUE_S, small=SMALL, line_bytes=LINE_BYTES,
+        meet_s=MEET_MS / 1000.0, least_used=LEAST, log_lines_per_s=LOG_LINES_PER_S,
+        relay=importlib.util.find_spec("quartzford.relay") is not None,
+    )  # fmt: skip
+
+
+def _read(path: Path, reader: Callable[[Any], T], nothing: T) -> T:
+    """A file of figures; nothing where it is not there."""
+    try:
+        text = path.read_text()
+    except FileNotFoundError:
+        return nothing
+    try:
+        return reader(json.loads(text))
+    except ValueError as error:
+        raise InputError(f"{path.name}: {error}") from None
+
+
+def read_figures(folder: Path) -> Figures:
+    """All figures in a folder of measurements."""
+    return Figures(
+        slopes=_read(folder / SLOPES, read_slopes, {}),
+        events=_read(folder / SCALE, read_scale, ()),
+        calls=_read(folder / CALLS, read_calls, ()),
+    )
+
+
+def play_calls(balancers: int) -> dict[str, Any]:
+    """The policy in force with each balancer asking the list service itself, at one size."""
+    rows = [
+        Model("lap", trouble, balancers, until=6 * balancers / PER_S + 40).run()
+        for trouble in TROUBLES
+        if trouble.name in CALL_SERVICES
+    ]
+    return {"command": COMMAND, "calls_per_s": PER_S, "rows": rows}
+
+
+def run(root: Path, write: bool) -> int:
+    """Check or write the page under a root; the command's exit status."""
+    path = root / PAGE
+    try:
+        figures = read_figures(root / "docs" / "measurements")
+        blocks = page.blocks(Capacity(figures, Target(), Protocol(), program()))
+        text = path.read_text()
+        parted, fresh = page.parted(text, blocks), page.exchanged(text, blocks)
+    except (OSError, InputError, page.PageError) as error:
+        print(f"capacity: {error}", file=sys.stderr)
+        return 2
+    missing = sorted(f"{role}: {name}" for role, name in WANTED.values() if not figures.slope(role, name))
+    if missing:
+        print(f"capacity: {len(missing)} figures not measured: {'; '.join(missing)}")
+    if write:
+        path.write_text(fresh)
+        print(f"capacity: {PAGE}: {len(parted)} of {len(blocks)} blocks written anew")
+        return 0
+    for name in parted:
+        print(
+            f"capacity: {PAGE}: block {name} is not what the figures give; run with --write", file=sys.stderr
+        )
+    return 1 if parted else 0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m bench.capacity")
+    parser.add_argument("--write", action="store_true", help="write the blocks into the page")
+    parser.add_argument("--calls", action="store_true", help="play the model of calls first")
+    options = parser.parse_args(arguments)
+    if options.calls:
+        played = play_calls(Target().balancers)
+        (ROOT / "docs" / "measurements" / CALLS).write_text(json.dumps(played, indent=1) + "\n")
+    return run(ROOT, options.write)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/capacity_mechanisms.py
@@ -0,0 +1,114 @@
+"""The mechanisms that the target needs, ranked by how many times the need is over what is there. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from bench.capacity_model import EACH_ASKS, NONE, Row
+
+LISTS = "distribution of lists"
+LONG_LISTS = "long lists"
+CONFIGURATION = "configuration"
+SERVICES = "services and routes"
+CONNECTIONS = "connections at upstreams"
+SHARED = "state shared by balancers"
+QUOTAS = "tenants' quotas"
+REGIONS = "regions"
+REQUESTS = "request path"
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """Something that the target needs. needs: mechanisms that have to be there first."""
+
+    name: str
+    today: str
+    needs: tuple[str, ...]
+    plan: str
+
+
+class Place(NamedTuple):
+    """A mechanism in the ranking, with the row that puts it there."""
+
+    mechanism: Mechanism
+    factor: float | None
+    row: Row | None
+
+
+MECHANISMS = (
+    Mechanism(
+        LISTS,
+        EACH_ASKS,
+        (),
+        "`quartzford relay` on the control machines: one watch to the source, thousands to balancers",
+    ),
+    Mechanism(
+        LONG_LISTS,
+        "a list is one line, read whole (`membership/watch.py`)",
+        (),
+        "a bound on a line that follows from the size of the list, rows read as they come",
+    ),
+    Mechanism(
+        CONFIGURATION,
+        "a file on each machine, SIGHUP, read whole (`Node.reconfigure`)",
+        (LISTS,),
+        "180,000 tenants, 2,700 changes a day, within 19 s: changes by tenant and class with a version, sent "
+        "as the list is, taken in by pieces; to a few balancers first, with a way back",
+    ),
+    Mechanism(
+        SERVICES,
+        f"{NONE}: one service to a process",
+        (CONFIGURATION, LONG_LISTS),
+        "60,000 routes to 2,700 services out of the configuration; list, P and working set by service, and "
+        "only of services that a balancer has traffic for",
+    ),
+    Mechanism(
+        CONNECTIONS,
+        "working set by the balancer's own rate (`decision/workingset.py`)",
+        (SERVICES,),
+        "each service's requests by a few balancers instead of all, so that a connection is used again",
+    ),
+    Mechanism(
+        SHARED,
+        f"{NONE}: copies share nothing",
+        (LISTS,),
+        "sums by zone, kept on the control machines and told back: load, what is shed, what fails",
+    ),
+    Mechanism(
+        QUOTAS,
+        "a quota over the number of balancers, each alone (`decision/admission.py`)",
+        (SHARED, CONFIGURATION),
+        "over 4,600 balancers, parts of a quota lent by need, as a tenant's mean rate at one balancer is far "
+        "under one request a second",
+    ),
+    Mechanism(
+        REGIONS,
+        f"{NONE}: one list for all, no region in it",
+        (LISTS,),
+        "a source and relays by region; what other regions said last stays in use while they are parted",
+    ),
+    Mechanism(
+        REQUESTS, "`fronts/http1.py`, `engine/`, `backends/http1.py`", (), "only if its rows have no room"
+    ),
+)
+
+
+def by_name(name: str) -> Mechanism:
+    """The mechanism of that name."""
+    return next(mechanism for mechanism in MECHANISMS if mechanism.name == name)
+
+
+def ranking(rows: Iterable[Row]) -> tuple[Place, ...]:
+    """Mechanisms by their worst factor, the greatest first; those with none last, in the plan's order."""
+    rows = tuple(rows)
+    places = (_place(mechanism, rows) for mechanism in MECHANISMS)
+    return tuple(sorted(places, key=lambda place: (place.factor is None, -(place.factor or 0.0))))
+
+
+def _place(mechanism: Mechanism, rows: tuple[Row, ...]) -> Place:
+    found = [(factor, row) for row in rows if row.mechanism == mechanism.name and (factor := row.factor())]
+    if not found:
+        return Place(mechanism, None, None)
+    return Place(mechanism, *max(found, key=lambda pair: pair[0]))
