--- a/bench/capacity_events.py
+++ b/bench/capacity_events.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from bench.capacity_inputs import NOT_MEASURED, ScaleEvent
+from bench.capacity_inputs import DAY_S, NOT_MEASURED, ScaleEvent
 from bench.capacity_model import NONE, Model
 
 
@@ -48,6 +48,24 @@
     return f"{each / 1e3:,.3g} KB to each, {each * askers / 1e6:,.4g} MB to all"
 
 
+def _configurations(model: Model) -> str:
+    """Bytes of a whole configuration to all, and a second if that is to be done in time."""
+    size, t = model.measured("config bytes").value, model.target
+    if size is None:
+        return f"bytes {NOT_MEASURED}"
+    total = size * t.balancers
+    rate = total / t.change_within_s
+    return f"{total / 1e9:,.3g} GB to all, {rate / 1e9:,.3g} GB/s within {t.change_within_s:g} s"
+
+
+def _held(model: Model) -> str:
+    """What a reload does to requests."""
+    stall = model.measured("config stall").value
+    if stall is None:
+        return NOT_MEASURED
+    return f"those that come within {stall:.2g} s wait for it (`bench.slopes`, one balancer)"
+
+
 def _spread_s(model: Model) -> str:
     """How long all whole lists take that relays let out, under their bound."""
     whole = model.measured("list bytes").value
@@ -68,7 +86,7 @@
 def event_rows(model: Model) -> tuple[EventRow, ...]:
     """The table by event."""
     t, lists = model.target, model.lists_today()
-    rows_a_day = model.rows_per_s() * 86_400
+    rows_a_day = model.rows_per_s() * DAY_S
     zone, zone_balancers = t.upstreams / t.zones, t.balancers / t.zones
     remote = t.balancers * (t.regions - 1) / t.regions
     behind, call_s = model.behind_relay(), t.balancers / model.program.calls_per_s
@@ -77,13 +95,21 @@
     return (
         EventRow(
             "ordinary day",
-            f"{rows_a_day:,.0f} rows, {model.rows_per_s():.3g}/s; "
-            f"{t.changes_per_day:,.0f} configurations",
-            "a row: " + _told(model, 1, t.balancers),
+            f"{t.failed_per_day:,.0f} + {t.replaced_per_day:,.0f} machines: {rows_a_day:,.0f} rows, "
+            f"{model.rows_per_s():.3g}/s",
+            f"a row: {_told(model, 1, t.balancers)}",
             in_force(model, "one upstream replaced"),
             _noticed(model, "one upstream replaced"),
             lists,
         ),
+        EventRow(
+            "change of configuration",
+            f"{t.changes_per_day:,.0f} a day, {t.changes_per_day / DAY_S:.3g}/s",
+            _configurations(model),
+            f"{NOT_MEASURED}; wanted: {t.change_within_s:g} s",
+            _held(model),
+            f"{NONE} to bring it there; SIGHUP and `Node.reconfigure` to take it in",
+        ),
         EventRow(
             "rack",
             f"most days: {t.rack} upstreams in one instant",
@@ -106,7 +132,7 @@
             "source, were it in one region",
             f"{remote:,.0f} balancers come back",
             in_force(model, "cut off"),
-            "the list as last told is used on; what fails is ejected by each balancer alone",
+            "by design: the list as last told is used on; what fails is ejected by each balancer alone",
             f"{NONE} for changes in a parted region; last list kept (`membership/watch.py`)",
         ),
         EventRow(
@@ -122,7 +148,7 @@
             f"{t.balancers:,} whole lists",
             f"each asks itself: {calls}; relays: all lists let out in {_spread_s(model)}",
             in_force(model, "all start"),
-            "none is taken before a list, `known` or a snapshot is there",
+            "by design: none is taken before a list, `known` or a snapshot is there",
             f"{lists}; `membership/snapshot.py`",
         ),
         EventRow(
@@ -146,15 +172,15 @@
             f"{t.balancers:,} balancers ask the source",
             f"one call of each at {model.program.calls_per_s:g}/s: {call_s:.0f} s",
             in_force(model, "all relays killed"),
-            "the list as last told is used on",
+            "by design: the list as last told is used on",
             "the fleet's bounded rate (`membership/calls.py`)",
         ),
         EventRow(
             "bad configuration, can't be used",
             "each process that is told to read it",
             "-",
-            "never: the one in force stays",
-            "nothing (`Node.reconfigure` is not reached)",
+            "by design: never, the one in force stays",
+            "by design: nothing (`Node.reconfigure` is not reached)",
             "`settings/platform.py`",
         ),
         EventRow(
@@ -162,7 +188,7 @@
             f"{t.balancers:,} balancers, as fast as operators are",
             "-",
             NOT_MEASURED,
-            "what it says, at every balancer",
+            "by design: what it says, at every balancer",
             f"{NONE}: no stage, no way back",
         ),
     )
--- a/bench/capacity_inputs.py
+++ b/bench/capacity_inputs.py
@@ -257,7 +257,11 @@
 
 
 def read_scale(table: Any) -> tuple[ScaleEvent, ...]:
-    """The events of scale.json."""
+    """The events of scale.json: {"events": [{"event", "way", "hollow", "real", ...}]}.
+
+    way is "source" or "relays"; p50_s, p99_s, last_s, source_calls, bytes_out and requests (a text) may be
+    left out or null where they were not measured.
+    """
     try:
         return tuple(_event(row) for row in table["events"])
     except (KeyError, TypeError, AttributeError) as error:
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -18,6 +18,7 @@
 from bench.capacity_model import (
     CALLS_RUN,
     EACH_ASKS,
+    NO_BOUND,
     NONE,
     NOT_OURS,
     RELAY,
@@ -32,6 +33,7 @@
 
 SOCKETS = Bound(None, "`limits.sockets`, as set")
 ITS_OWN = Bound(None, "its own, not given")
+ONE_CORE = Bound(1.0, "a process has one loop")
 RELAY_MEMORY = Bound(512e6, "issue 47, part 4")
 RELAY_ROLE = "relay (each of the control machines)"
 SERVICES_OF_CALLS = ("queues", "turns away")
@@ -185,7 +187,7 @@
             f"requests, {rate:.4g}/s",
             cost,
             "cores",
-            Bound(1.0, "a process has one loop"),
+            ONE_CORE,
             today,
             REQUESTS,
         ),
@@ -286,26 +288,47 @@
         ),
         *(found for service in SERVICES_OF_CALLS for found in _calls(model, service)),
         row("messages", "whole lists, all start, each asks itself", total, "bytes", today=EACH_ASKS),
+        *_source_costs(model),
+    )
+
+
+def _source_costs(model: Model) -> tuple[Row, ...]:
+    """Processor time and memory of the stand-in list service, with all balancers at it."""
+    row, per_s = partial(Row, "list service"), model.program.calls_per_s
+    told = "a changed row told to all, each asks itself"
+    return (
+        row("messages", told, model.measured("source span"), "s", NO_BOUND, EACH_ASKS),
+        row("processor time", told, model.measured("source change"), "s", NO_BOUND, EACH_ASKS),
         row(
             "processor time",
-            "a changed row told to all, each asks itself",
-            model.measured("source change"),
-            "s",
-            today=EACH_ASKS,
+            "beats to all",
+            model.measured("source beats"),
+            "cores",
+            ONE_CORE,
+            EACH_ASKS,
+            LISTS,
         ),
         row(
             "processor time",
             "a whole list",
             model.measured("source list"),
             "s",
-            Bound(1.0 / program.calls_per_s, f"one call at {program.calls_per_s:g}/s"),
-            lists,
+            Bound(1.0 / per_s, f"one call at {per_s:g}/s"),
+            model.lists_today(),
             LONG_LISTS,
         ),
+        row(
+            "memory",
+            "with the whole list",
+            model.measured("source memory"),
+            "bytes",
+            ITS_OWN,
+            "the operators'",
+        ),
         row(
             "memory",
             "watches of all balancers",
-            model.measured("source watcher"),
+            model.measured("source watchers"),
             "bytes",
             ITS_OWN,
             EACH_ASKS,
@@ -372,6 +395,30 @@
     )
 
 
+def _relay_costs(model: Model) -> tuple[Row, ...]:
+    """Processor time and memory of a relay with the most watchers that it takes."""
+    row, today = partial(Row, RELAY_ROLE), _relays_today(model)
+    most = f"{model.most_watchers():,}"
+    told = f"a changed row told to {most} watchers"
+    return (
+        row("messages", told, model.measured("relay span"), "s", NO_BOUND, today),
+        row("processor time", told, model.measured("relay change"), "s", NO_BOUND, today),
+        row(
+            "processor time",
+            f"beats to {most} watchers",
+            model.measured("relay beats"),
+            "cores",
+            ONE_CORE,
+            today,
+        ),
+        row("processor time", "a whole list let out", model.measured("relay list"), "s", NO_BOUND, today),
+        row("memory", "with the whole list", model.measured("relay memory"), "bytes", RELAY_MEMORY, today),
+        row(
+            "memory", f"with {most} watchers", model.measured("relay watchers"), "bytes", RELAY_MEMORY, today
+        ),
+    )
+
+
 def relay(model: Model) -> tuple[Row, ...]:
     """One of the control machines."""
     row, rate = partial(Row, RELAY_ROLE), model.program.relay_whole_bytes_per_s
@@ -398,23 +445,7 @@
             Bound(None, "not given for this size"),
             today,
         ),
-        row(
-            "processor time",
-            f"a changed row told to {behind:.0f}",
-            model.measured("relay change"),
-            "s",
-            today=today,
-        ),
-        row("processor time", "a whole list let out", model.measured("relay list"), "s", today=today),
-        row("memory", "with the whole list", model.measured("relay memory"), "bytes", RELAY_MEMORY, today),
-        row(
-            "memory",
-            f"watches of {behind:.0f}",
-            model.measured("relay watcher"),
-            "bytes",
-            RELAY_MEMORY,
-            today,
-        ),
+        *_relay_costs(model),
         row(
             "connections",
             "balancers, mean",
