Rename membership/keeper.py to snapshot_writer.py, Keeper to SnapshotWriter

With it: news -> list_changed, confirm -> refresh_age, heard -> confirmed, failed -> last_error, again -> write_again, Kept -> StoredList, EVERY_S -> WRITE_INTERVAL_S, CONFIRM_S -> REFRESH_INTERVAL_S. The topic of its log lines, the file's form and the operators' keys are as before. No behaviour in it. The list of modules that the platform's run must not load names the new module in place of the old.

--- a/quartzford/membership/snapshot.py
+++ b/quartzford/membership/snapshot.py
@@ -2,7 +2,7 @@
 
 A snapshot is one line of JSON (format, service, taken_ms, length and SHA-256 of what follows) and the list
 in discovery's form. It is of one service at one address: another's versions mean something else. What may be
-done with one of a given age is `Rule`'s to say; keeper.py writes and reads the file.
+done with one of a given age is `Rule`'s to say; snapshot_writer.py writes and reads the file.
 """
 
 from __future__ import annotations
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -26,7 +26,7 @@
 from quartzford.settings.platform import Config, ConfigError
 
 if TYPE_CHECKING:
-    from quartzford.membership.keeper import Keeper
+    from quartzford.membership.snapshot_writer import SnapshotWriter
     from quartzford.replacement.state import State
     from quartzford.replacement.succession import Succession
 
@@ -101,7 +101,7 @@
         self._listener: socket.socket | None = None  # the process before's
         self._memory: io.Memory | None = None  # the process before's, until the list is adopted
         self._version: int | None = None  # of its list, where it may be followed from there
-        self.keeper: Keeper | None = None  # of the last list, where there is a lasting disk
+        self.snapshot_writer: SnapshotWriter | None = None  # of the last list, where there is a lasting disk
         self._as_kept: Listing | None = None  # the snapshot's list, where another is in force for its age
 
     # ---- start and end
@@ -172,8 +172,8 @@
         if self.succession is not None:
             known, self._listener = await self._inherit(self.succession, known)
             inherited = self._memory is not None
-        if self.keeper is not None:
-            known = self._kept(self.keeper, known)
+        if self.snapshot_writer is not None:
+            known = self._kept(self.snapshot_writer, known)
         self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
         self.watch.version = self._version if inherited else known.version
         if self._memory is not None:
@@ -186,10 +186,10 @@
             self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
             await self.told.wait()
 
-    def _kept(self, keeper: Keeper, known: Listing) -> Listing:
+    def _kept(self, writer: SnapshotWriter, known: Listing) -> Listing:
         """The snapshot's list, where it is not older than what the configuration knows."""
-        keeper.confirm()
-        kept = keeper.read()
+        writer.refresh_age()
+        kept = writer.read()
         if kept is None or (known.entries and kept.listing.version < known.version):
             return known
         self._as_kept = kept.listing if kept.in_force is not kept.listing else None
@@ -234,8 +234,8 @@
         if quiet or self.clock.now() >= limit:
             self.watch.stop()
             self.operations.stop()
-            if self.keeper is not None:
-                self.keeper.stop()
+            if self.snapshot_writer is not None:
+                self.snapshot_writer.stop()
             if self.succession is not None:
                 self.succession.stop()
             if not self.finished.done():
@@ -337,8 +337,8 @@
                 self.loop.call_soon(self._take_in)
             else:
                 self.told.set()
-                if self.keeper is not None:
-                    self.keeper.news()
+                if self.snapshot_writer is not None:
+                    self.snapshot_writer.list_changed()
 
     def _adopt(self, listing: Listing, how: str) -> None:
         self.roster.take(listing)
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -50,14 +50,14 @@
 
     def _keep(self, where: str, lists: ListsSettings) -> None:
         # Only here: installations without a lasting disk don't load it.
-        from quartzford.membership.keeper import Keeper
         from quartzford.membership.snapshot import Rule
+        from quartzford.membership.snapshot_writer import SnapshotWriter
 
         node = self.node
         if not Path(where).parent.is_dir():
             raise OperatorError(f"lists.snapshot: {Path(where).parent} is no folder")
         rule = Rule(lists.snapshot_age_s, lists.snapshot_fresh_s)
-        node.keeper = Keeper(
+        node.snapshot_writer = SnapshotWriter(
             where, rule, lambda: "{}:{}".format(*node.config.discovery), node.roster.table,
             node.watch.current, node.clock, node.log, node.loop,
         )  # fmt: skip
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -13,8 +13,7 @@
 from hypothesis import strategies as st
 from peers import Message, World, request, run, silent, until
 
-from quartzford.membership import keeper as keeping
-from quartzford.membership.keeper import Keeper, replace
+from quartzford.membership import snapshot_writer as writing
 from quartzford.membership.snapshot import (
     Rule,
     Snapshot,
@@ -24,6 +23,7 @@
     encode,
     usable,
 )
+from quartzford.membership.snapshot_writer import SnapshotWriter, replace
 
 RULE = Rule(most_age=3_600.0, fresh_age=60.0)
 ROW = {"host": "s0", "dial": "127.0.0.1:1", "site": "north", "class": "std", "block": 0, "health": "ready",
@@ -97,14 +97,14 @@
     assert TABLE["hosts"][0]["born_ms"] == 0
 
 
-def kept(world: World, path: Path, rule: Rule = RULE) -> Keeper:
+def kept(world: World, path: Path, rule: Rule = RULE) -> SnapshotWriter:
     """The node of a world keeps its list there."""
     node = world.node
-    node.keeper = Keeper(
+    node.snapshot_writer = SnapshotWriter(
         str(path), rule, lambda: "the list", node.roster.table, node.watch.current, node.clock, node.log,
         node.loop,
     )  # fmt: skip
-    return node.keeper
+    return node.snapshot_writer
 
 
 class Kept(World):
@@ -132,7 +132,7 @@
 
     async def started(self: Any) -> None:
         world.node = self
-        if self.keeper is None:
+        if self.snapshot_writer is None:
             kept(world, world.path, world.rule)
         await start(self)
 
@@ -147,7 +147,7 @@
 def test_a_list_is_kept_and_serves_the_next_start_while_the_service_is_silent(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(keeping, "EVERY_S", 0.02)
+    monkeypatch.setattr(writing, "WRITE_INTERVAL_S", 0.02)
     path = tmp_path / "last"
 
     @run
@@ -211,7 +211,7 @@
 def test_a_disk_that_fails_costs_a_line_and_not_the_service(
     how: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setattr(keeping, "EVERY_S", 0.02)
+    monkeypatch.setattr(writing, "WRITE_INTERVAL_S", 0.02)
     path = tmp_path / "last"
     if how == "no folder":
         path = tmp_path / "missing" / "last"
@@ -225,10 +225,10 @@
         world = Kept(path)
         async with world:
             assert (await world.ask(request())).status == 200
-            keeper = world.node.keeper
-            assert keeper is not None
-            await until(lambda: keeper.failed or keeper.written)
-            assert bool(keeper.written) == (how == "garbage")
+            writer = world.node.snapshot_writer
+            assert writer is not None
+            await until(lambda: writer.last_error or writer.written)
+            assert bool(writer.written) == (how == "garbage")
 
     test()
     assert ("is not used" in capsys.readouterr().err) == (how == "garbage")
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -90,8 +90,9 @@
     loaded = subprocess.run(
         [sys.executable, "-c", eager], cwd=PACKAGE.parent, capture_output=True, check=True
     )
-    extras = {"numpy", "msgspec", "email", "quartzford.membership.keeper", "quartzford.membership.snapshot",
-              "quartzford.counting", "quartzford.serve", "quartzford.replacement.succession"}  # fmt: skip
+    extras = {"numpy", "msgspec", "email", "quartzford.membership.snapshot_writer",
+              "quartzford.membership.snapshot", "quartzford.counting", "quartzford.serve",
+              "quartzford.replacement.succession"}  # fmt: skip
     assert not extras & set(loaded.stdout.decode().split())
 
 
