Rename membership/roster.py to registry.py, Roster to Registry

A table of the upstreams that are known, by name, is a registry in this field. With it: take -> apply, one -> row_changes, node.roster -> node.registry. No behaviour in it; test_structure holds the new name to no I/O as it held the old.

--- a/quartzford/membership/roster.py
+++ b/quartzford/membership/registry.py
@@ -1,4 +1,4 @@
-"""The list as last told, under what operators have taken out. No I/O.
+"""Registry of upstreams: the rows of the last list, and the view without what operators took out. No I/O.
 
 The decision module hears the list as it is; who makes attempts (backends) hears of an upstream that is out by
 hand as draining, and of its row in the list again when it is put back.
@@ -15,14 +15,14 @@
 Row = tuple[io.Entry, tuple[str, int]]
 
 
-class Roster:
+class Registry:
     """Rows by name, and the version that they are of."""
 
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
         self.version = 0
 
-    def take(self, listing: Listing) -> None:
+    def apply(self, listing: Listing) -> None:
         self.version = listing.version
         if listing.whole:
             self.rows.clear()
@@ -32,17 +32,17 @@
             else:
                 self.rows[row[0].server] = row
 
-    def masked(self, listing: Listing, out: Collection[str]) -> Listing:
+    def masked(self, listing: Listing, taken_out: Collection[str]) -> Listing:
         """The listing as backends are to hear it."""
-        if not out:
+        if not taken_out:
             return listing
         entries = tuple(
-            e._replace(state="draining") if e.state == "ready" and e.server in out else e
+            e._replace(state="draining") if e.state == "ready" and e.server in taken_out else e
             for e in listing.entries
         )
         return listing._replace(entries=entries)
 
-    def one(self, name: str, out: bool) -> Listing:
+    def row_changes(self, name: str, out: bool) -> Listing:
         """One row as changes: draining where it is out; nothing where the list does not name it."""
         row = self.rows.get(name)
         if row is None:
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -20,7 +20,7 @@
 from quartzford.membership.calls import Agent, Calls, Shared, draws
 from quartzford.membership.listing import Listing, read_listing
 from quartzford.membership.pieces import Queue
-from quartzford.membership.roster import Roster
+from quartzford.membership.registry import Registry
 from quartzford.membership.subset import Subset
 from quartzford.membership.watch import Watch
 from quartzford.settings.platform import Config, ConfigError
@@ -74,7 +74,7 @@
         self.pool = HttpBackend(self.engine, self.budget, clock, loop)
         self.followers: list[Follower] = [self.pool]
         self.news = Queue()
-        self.roster = Roster()
+        self.registry = Registry()
         self.operations = OperationsFront(self, clock)
         self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
         self.ending = False
@@ -279,7 +279,7 @@
         busy = sum(not client.idle() for client in self.front.clients)
         memory = self.engine.hand_over()
         return listener, State(
-            FORMAT, self.roster.table(), self.watch.version, list(self.config.discovery), self.watch.heard,
+            FORMAT, self.registry.table(), self.watch.version, list(self.config.discovery), self.watch.heard,
             busy, memory,
         )  # fmt: skip
 
@@ -341,8 +341,8 @@
                     self.snapshot_writer.list_changed()
 
     def _adopt(self, listing: Listing, how: str) -> None:
-        self.roster.take(listing)
-        masked = self.roster.masked(listing, self.engine.balancer.by_hand)
+        self.registry.apply(listing)
+        masked = self.registry.masked(listing, self.engine.balancer.by_hand)
         for follower in self.followers:
             follower.listed(masked)
         self.engine.listed(how, listing.entries)
@@ -363,7 +363,7 @@
             return
         self.engine.feed(io.ByHand(name, out))
         for follower in self.followers:
-            follower.listed(self.roster.one(name, out))
+            follower.listed(self.registry.row_changes(name, out))
         self.log.line("by hand", f"{name[:100]} {'out' if out else 'back in use'}")
 
     def figures(self, prefix: str) -> str:
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -58,7 +58,7 @@
             raise OperatorError(f"lists.snapshot: {Path(where).parent} is no folder")
         rule = Rule(lists.snapshot_age_s, lists.snapshot_fresh_s)
         node.snapshot_writer = SnapshotWriter(
-            where, rule, lambda: "{}:{}".format(*node.config.discovery), node.roster.table,
+            where, rule, lambda: "{}:{}".format(*node.config.discovery), node.registry.table,
             node.watch.current, node.clock, node.log, node.loop,
         )  # fmt: skip
 
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -101,7 +101,7 @@
     """The node of a world keeps its list there."""
     node = world.node
     node.snapshot_writer = SnapshotWriter(
-        str(path), rule, lambda: "the list", node.roster.table, node.watch.current, node.clock, node.log,
+        str(path), rule, lambda: "the list", node.registry.table, node.watch.current, node.clock, node.log,
         node.loop,
     )  # fmt: skip
     return node.snapshot_writer
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -71,7 +71,7 @@
     pure = ("decision/logic.py", "decision/interface.py", "decision/eligibility.py",
             "decision/admission.py", "decision/memory.py", "decision/estimates.py", "engine/figures.py",
             "replacement/phases.py", "replacement/state.py", "backends/caller.py",
-            "protocols/http2.py", "protocols/onecall.py", "membership/roster.py",
+            "protocols/http2.py", "protocols/onecall.py", "membership/registry.py",
             "membership/calls.py", "membership/snapshot.py", "load/shapes.py", "load/clients.py",
             "load/trace.py", "load/record.py",
             *(f"fronts/extproc/{n}.py" for n in ("desk", "intake", "outcome", "token")))  # fmt: skip
