Rename rig/relay.py to fault_proxy.py, Relay to FaultProxy; rig/held.py to gate.py

The word relay is needed for a new process of the program. What stands between two processes here and injects faults into their traffic is a fault proxy in this field. The plan that the process reads and what it prints are as before. No behaviour in it.

--- a/rig/capacity.py
+++ b/rig/capacity.py
@@ -10,7 +10,7 @@
 PROCESS_MB = 45  # of one balancer under load, with its part of what the kernel keeps for it
 START_CPU_S = 0.45  # imports, before the release
 IDLE_CORES = 0.004  # of a balancer that serves some few requests a second
-REQUEST_CPU_S = 0.0012  # balancer, relay, nodo and client together
+REQUEST_CPU_S = 0.0012  # balancer, fault proxy, upstream and client together
 RIG_MB = 600
 SPARE = 0.75  # of the machine's memory and cores are for the fleet
 
--- a/rig/faults.py
+++ b/rig/faults.py
@@ -131,7 +131,7 @@
         self.faults = tuple(faults)
 
     def touches(self, link: Link) -> bool:
-        """Whether any line is about this link, so that it has to go through a relay."""
+        """Whether any line is about this link, so that it has to go through the fault proxy."""
         return any(True for _ in self._of(link))
 
     def _of(self, link: Link) -> Iterable[tuple[Fault, bool]]:
--- a/rig/held.py
+++ b/rig/gate.py
@@ -1,4 +1,4 @@
-"""One balancer, held at the gate: python held.py CHECKOUT, then a line on standard input releases it.
+"""One balancer, that waits at a gate: python gate.py CHECKOUT, then a line on standard input releases it.
 
 All that it imports is imported before, so that hundreds are released together; from there on it is the
 program as it is in that checkout. A closed standard input before the release ends it.
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -49,7 +49,7 @@
         self.wanted_end = False
         with self.log.open("ab") as out:
             self.running = subprocess.Popen(
-                [sys.executable, str(ROOT / "rig" / "held.py"), str(self.checkout), *self.arguments],
+                [sys.executable, str(ROOT / "rig" / "gate.py"), str(self.checkout), *self.arguments],
                 stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=out, cwd=self.checkout,
                 env={**os.environ, **self.environment},
             )  # fmt: skip
@@ -161,7 +161,7 @@
 
 @contextlib.contextmanager
 def helper(*arguments: str, **options: Any) -> Iterator[subprocess.Popen[bytes]]:
-    """A stand-in or a relay, ended with the block."""
+    """A stand-in or a fault proxy, ended with the block."""
     process = subprocess.Popen(
         [sys.executable, "-m", *arguments], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, **options
     )
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -106,7 +106,7 @@
         self.events = read_events(scenario.events, self.groups)
         self.began = 0.0
         self.done: list[dict[str, Any]] = []
-        self.taken: list[list[float]] = []  # connections through the relays: when, and by which link
+        self.taken: list[list[float]] = []  # connections through the proxy: when, and by which link
         self.kills: list[tuple[int, float]] = []  # who was killed outright, and when
         self.begun: list[tuple[int, float]] = []  # who was started again, and when
         self.stack = ExitStack()
@@ -124,7 +124,7 @@
     def play(self) -> dict[str, Any]:
         with self.stack:
             self._stand_ins()
-            self._relays()
+            self._fault_proxy()
             self._balancers()
             self._clients()
             with self.processes:
@@ -133,8 +133,8 @@
                 self._carry_out()
                 told = json.loads(self.clients.stdout.readline() or b"{}")
                 memory = max((one.resident_mb() for one in self.processes.members), default=0.0)
-                self._tell(self.relay, {"counts": 1})
-                self.taken = json.loads(self.relay.stdout.readline())["taken"]
+                self._tell(self.proxy, {"counts": 1})
+                self.taken = json.loads(self.proxy.stdout.readline())["taken"]
                 books = self._fetch(self.nodos_port)
                 service = self._fetch(self.service_port)
                 crashes = self.processes.crashes()
@@ -166,23 +166,23 @@
         process.stdin.write(json.dumps(what).encode() + b"\n")
         process.stdin.flush()
 
-    def _relays(self) -> None:
+    def _fault_proxy(self) -> None:
         """Every balancer's own way to the list service, under its own address there."""
         rows: list[Any] = [
             [f"nodes[{n}]", "lists[0]", "tcp", [address(n), 0], ["127.0.0.1", self.service_port], address(n)]
             for n in range(self.scenario.balancers)
         ]
-        self.relay = self._helper("rig.relay")
+        self.proxy = self._helper("rig.fault_proxy")
         plan = {"script": self.scenario.faults, "groups": self.groups, "seed": self.scenario.seed}
-        self._tell(self.relay, plan | {"links": rows})
-        self.ways = json.loads(self.relay.stdout.readline())["ports"]
+        self._tell(self.proxy, plan | {"links": rows})
+        self.proxy_ports = json.loads(self.proxy.stdout.readline())["ports"]
         self.touched = sum(self.script.touches(Link(row[0], row[1])) for row in rows)
 
     def _config(self, number: int, life: int = 0) -> dict[str, Any]:
         scenario = self.scenario
         table = config(0, 0, self._known())
         table["listen"] = f"{address(number)}:{self.ports[number]}"
-        table["discovery"] = f"{address(number)}:{self.ways[number]}"
+        table["discovery"] = f"{address(number)}:{self.proxy_ports[number]}"
         table["name"] = "n" if scenario.names == "one" else f"n{number}"
         own = 7 if scenario.names == "one" else scenario.seed * 1_000_003 + number * 101 + life
         table["seed"] = f"{own:x}"
@@ -236,7 +236,7 @@
             self.nodos.stdin.flush()
             self.hosts = self._reborn()
             self._tell(self.service, {"hosts": self._rows()})
-        for process in (self.service, self.relay, self.clients):
+        for process in (self.service, self.proxy, self.clients):
             self._tell(process, {"begin": begin})
         time.sleep(max(0.0, begin - time.monotonic()))
         self.began = begin
@@ -349,7 +349,7 @@
         killed = self._killed(told["lost"])
         tries = [(i, name, "killed" if end == LOST and i in killed else end) for i, name, end in told["book"]]
         verdict = judge(books, tries, BRIEF, told["twice"])
-        # Calls that found nobody are in the relays' book alone, those past the relays in the service's.
+        # Calls that found nobody are in the proxy's book alone, those past the proxy in the service's.
         direct = [row for row in service.get("calls", ()) if row[1] == "127.0.0.1"]
         calls = sorted(row[0] - self.began for row in [*self.taken, *direct])
         per = Counter(number for _, number in self.taken)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -1,4 +1,4 @@
-"""The rig: scripts of faults, relays that carry them out, how many processes a machine bears, clean ends."""
+"""The rig: scripts of faults, the proxy that carries them out, what a machine bears, clean ends."""
 
 from __future__ import annotations
 
@@ -119,11 +119,11 @@
 
 
 @asynccontextmanager
-async def relayed(script: str, links: list[list[Any]]) -> AsyncIterator[list[int]]:
-    """A relay in a process of its own, released now: its ports."""
+async def proxied(script: str, links: list[list[Any]]) -> AsyncIterator[list[int]]:
+    """A fault proxy in a process of its own, released now: its ports."""
     plan = {"script": script, "groups": GROUPS, "seed": 3, "links": links}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "rig.relay", cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        sys.executable, "-m", "rig.fault_proxy", cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
     )
     assert process.stdin is not None and process.stdout is not None
     try:
@@ -141,14 +141,14 @@
     uvloop.run(asyncio.wait_for(test(), 30))
 
 
-def test_a_stream_through_a_relay_is_held_back_by_a_cut_and_nothing_of_it_is_lost() -> None:
+def test_a_stream_through_the_fault_proxy_is_held_back_by_a_cut_and_nothing_of_it_is_lost() -> None:
     async def test() -> None:
         Echo.peers = []
         server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
         target = list(server.sockets[0].getsockname())
         link = ["nodes[3]", "lists[0]", "tcp", ["127.10.0.4", 0], target, "127.10.0.4"]
         other = ["nodes[4]", "lists[0]", "tcp", ["127.10.0.5", 0], target, "127.10.0.5"]
-        async with relayed("0.8 cut nodes[3] lists until 1.6", [link, other]) as ports:
+        async with proxied("0.8 cut nodes[3] lists until 1.6", [link, other]) as ports:
             began = time.monotonic()
             reader, writer = await asyncio.open_connection("127.10.0.4", ports[0])
             writer.write(b"before")
@@ -178,7 +178,7 @@
         target = list(server.sockets[0].getsockname())
         links = [[f"nodes[{n}]", "lists[0]", "tcp", ["127.0.0.1", 0], target, ""] for n in range(3)]
         script = "0.5 reset nodes[0] lists\n0 refuse nodes[1] lists until 0.7\n0 trickle 20000 nodes[2] lists"
-        async with relayed(script, links) as ports:
+        async with proxied(script, links) as ports:
             began = time.monotonic()
             reader, writer = await asyncio.open_connection("127.0.0.1", ports[0])
             slow_reader, slow_writer = await asyncio.open_connection("127.0.0.1", ports[2])
@@ -197,7 +197,7 @@
 
 
 def test_datagrams_come_from_where_answers_are_heard() -> None:
-    """nodes[1] knows nodes[0] by the relay's address for it, in both directions."""
+    """nodes[1] knows nodes[0] by the proxy's address for it, in both directions."""
 
     class Ear(asyncio.DatagramProtocol):
         def __init__(self) -> None:
@@ -217,7 +217,7 @@
             ["nodes[0]", "nodes[1]", "udp", ["127.0.0.1", 0], where[1], ""],
             ["nodes[1]", "nodes[0]", "udp", ["127.0.0.1", 0], where[0], ""],
         ]
-        async with relayed("0.6 cut nodes[0] nodes[1]", links) as ports:
+        async with proxied("0.6 cut nodes[0] nodes[1]", links) as ports:
             ends[0].transport.sendto(b"hello", ("127.0.0.1", ports[0]))
             data, address = await ends[1].heard.get()
             assert data == b"hello" and address[1] == ports[1]
@@ -277,7 +277,7 @@
     try:
         assert rig.stdout is not None and b'"release"' in rig.stdout.readline()
         children = [int(n) for n in Path(f"/proc/{rig.pid}/task/{rig.pid}/children").read_text().split()]
-        assert len(children) == 7  # nodos, list service, relay, clients, and three balancers
+        assert len(children) == 7  # upstreams, list service, fault proxy, clients, and three balancers
         rig.send_signal(signal.SIGINT)
         rig.wait(30)
         assert not any(alive(pid) for pid in children) and stranger.poll() is None
