--- a/bench/subsets.py
+++ b/bench/subsets.py
@@ -33,7 +33,7 @@
 
 
 def used(subset: Subset) -> set[str]:
-    return {name for name, e in subset.told.items() if e.state == "ready"}
+    return {name for name, e in subset.announced.items() if e.state == "ready"}
 
 
 def aperture(balancer: int, balancers: int, nodos: int, size: int) -> set[str]:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -127,7 +127,7 @@
     for zone in range(3):
         assert sum(int(name[1:]) // 4 % 3 == zone for name in after) >= 8
     told.hear(listing(True))
-    assert not told.states and not told.subset.told
+    assert not told.states and not told.subset.announced
 
 
 def test_what_is_left_is_told_to_drain_not_to_be_gone() -> None:
@@ -164,7 +164,7 @@
     told = Told(subset)
     for start in range(0, 4000, 40):
         told.hear(listing(True, *(entry(n) for n in range(start, start + 40))))
-    assert len(subset.cells) < 200 and len(subset.order) == len(subset.cells)
+    assert len(subset.blocks) < 200 and len(subset.order) == len(subset.blocks)
 
 
 @run
