Names in standins/listservice.py as a newcomer would expect them

Caller -> Connection, line -> queue, book -> calls, account -> books, take -> replace_list, tell -> send_changes, work -> serve_next, done -> finish, turn_away -> reject, gone -> removed, TURN_S -> MAX_WAIT_S. The keys of its plan, its commands and the books that it gives out are as before. No behaviour in it.

--- a/standins/listservice.py
+++ b/standins/listservice.py
@@ -1,4 +1,4 @@
-"""A stand-in list service that a whole fleet asks: one worker, a line before it, and scripted trouble.
+"""A stand-in list service that a whole fleet asks: one worker, a queue before it, and scripted trouble.
 
     python -m standins.listservice '{"per_s": 50, "line": "queues", ...}'
 
@@ -7,9 +7,9 @@
 plan count. GET /books gives what it saw; SIGTERM ends it.
 
 It speaks the platform's discovery (GET /catalog/members, with stream=1&index=N a watch). Calls are worked
-through one at a time, `per_s` a second, each as long as its bytes take besides. What waits in line goes on
+through one at a time, `per_s` a second, each as long as its bytes take besides. What waits there goes on
 being worked on though its caller has left ("queues"), or is turned away at once with a 503 where it would
-wait for over TURN_S ("turns away"). While it is down nobody listens, and what stood is reset.
+wait for over MAX_WAIT_S ("turns away"). While it is down nobody listens, and what stood is reset.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 import uvloop
 
-TURN_S = 1.0
+MAX_WAIT_S = 1.0
 BEAT_S = 2.0
 
 
@@ -53,33 +53,33 @@
 
 
 class Service:
-    """The line, the worker, the watches and the book."""
+    """The queue, the worker, the watches and the books."""
 
     def __init__(self, plan: Plan) -> None:
         if plan.line not in ("queues", "turns away"):
             raise ValueError(f"line: {plan.line!r} is not one of queues, turns away")
         self.plan = plan
         self.rows: dict[str, dict[str, Any]] = {}
-        self.changed: dict[str, int] = {}  # host: the version of its last change
-        self.gone: dict[str, tuple[int, dict[str, Any]]] = {}
+        self.changed_at: dict[str, int] = {}  # host: the version of its last change
+        self.removed: dict[str, tuple[int, dict[str, Any]]] = {}
         self.version = 1
-        self.line: deque[Caller] = deque()
-        self.watches: set[Caller] = set()
-        self.callers: set[Caller] = set()
+        self.queue: deque[Connection] = deque()
+        self.watches: set[Connection] = set()
+        self.connections: set[Connection] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
         self.began = float("inf")
-        self.working = False
+        self.busy = False
         self.died = False
-        self.book: list[list[Any]] = []  # when, who, what was asked: whole or changes
+        self.calls: list[list[Any]] = []  # when, who, what was asked: whole or changes
         self.answers: list[list[Any]] = []  # when, who, how: answered, turned away, for nobody
         self.bytes = 0
-        self.whole: tuple[int, bytes] = 0, b""  # the whole list's text, and of which version
+        self.encoded_whole: tuple[int, bytes] = 0, b""  # the whole list's text, and of which version
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            lambda: Caller(self), self.plan.address, self.port, backlog=4096, reuse_address=True
+            lambda: Connection(self), self.plan.address, self.port, backlog=4096, reuse_address=True
         )
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -88,9 +88,9 @@
         if self.server is not None:
             self.server.close()
             self.server = None
-        self.line.clear()
-        for caller in list(self.callers):
-            caller.transport.abort()
+        self.queue.clear()
+        for connection in list(self.connections):
+            connection.transport.abort()
         self.watches.clear()
 
     def begin(self, at: float) -> None:
@@ -98,14 +98,14 @@
         loop, now = asyncio.get_running_loop(), monotonic()
         for begin, end in self.plan.downs:
             loop.call_later(max(0.0, at + begin - now), self.stop)
-            loop.call_later(max(0.0, at + end - now), self._up)
+            loop.call_later(max(0.0, at + end - now), self._start_again)
         if any(begin <= 0 for begin, _ in self.plan.downs):
             self.stop()
 
-    def _up(self) -> None:
+    def _start_again(self) -> None:
         if self.server is None:
             if self.plan.back:
-                self.version, self.changed, self.gone = 1, dict.fromkeys(self.rows, 1), {}
+                self.version, self.changed_at, self.removed = 1, dict.fromkeys(self.rows, 1), {}
             asyncio.ensure_future(self.start())
 
     def mute(self) -> bool:
@@ -114,90 +114,90 @@
 
     # ---- the list
 
-    def take(self, hosts: list[dict[str, Any]]) -> None:
+    def replace_list(self, hosts: list[dict[str, Any]]) -> None:
         """The list as it is from now on; watches hear what has changed."""
         self.version += 1
         names = {row["host"] for row in hosts}
         for name in [name for name in self.rows if name not in names]:
-            self.gone[name] = self.version, self.rows.pop(name) | {"health": "gone"}
+            self.removed[name] = self.version, self.rows.pop(name) | {"health": "gone"}
         for row in hosts:
             if self.rows.get(row["host"]) != row:
-                self.rows[row["host"]], self.changed[row["host"]] = row, self.version
-                self.gone.pop(row["host"], None)
+                self.rows[row["host"]], self.changed_at[row["host"]] = row, self.version
+                self.removed.pop(row["host"], None)
         for watch in list(self.watches):
-            self.tell(watch, self.version - 1)
+            self.send_changes(watch, self.version - 1)
 
-    def text(self, since: int | None) -> bytes:
+    def encoded(self, since: int | None) -> bytes:
         """The whole list, or what changed after a version."""
         if since is None or since <= 0 or since > self.version or self.plan.always_whole:
-            if self.whole[0] != self.version:
-                self.whole = self.version, self._text(True, list(self.rows.values()))
-            return self.whole[1]
-        rows = [row for name, row in self.rows.items() if self.changed[name] > since]
-        return self._text(False, rows + [row for at, row in self.gone.values() if at > since])
+            if self.encoded_whole[0] != self.version:
+                self.encoded_whole = self.version, self._encode(True, list(self.rows.values()))
+            return self.encoded_whole[1]
+        rows = [row for name, row in self.rows.items() if self.changed_at[name] > since]
+        return self._encode(False, rows + [row for at, row in self.removed.values() if at > since])
 
-    def _text(self, whole: bool, rows: list[dict[str, Any]]) -> bytes:
+    def _encode(self, whole: bool, rows: list[dict[str, Any]]) -> bytes:
         return json.dumps({"seq": self.version, "whole": whole, "hosts": rows}).encode() + b"\n"
 
-    def tell(self, watch: Caller, since: int | None) -> None:
-        text = self.text(since)
+    def send_changes(self, watch: Connection, since: int | None) -> None:
+        text = self.encoded(since)
         self.bytes += len(text)
         watch.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
 
     # ---- calls
 
-    def call(self, caller: Caller) -> None:
-        self.book.append([monotonic(), caller.who, "whole" if caller.since is None else "changes"])
+    def accept(self, connection: Connection) -> None:
+        self.calls.append([monotonic(), connection.peer, "whole" if connection.since is None else "changes"])
         if self.mute():
             return
-        if self.plan.line == "turns away" and len(self.line) / self.plan.per_s > TURN_S:
-            return self.turn_away(caller)
-        self.line.append(caller)
-        self.work()
+        if self.plan.line == "turns away" and len(self.queue) / self.plan.per_s > MAX_WAIT_S:
+            return self.reject(connection)
+        self.queue.append(connection)
+        self.serve_next()
 
-    def turn_away(self, caller: Caller) -> None:
-        self.answers.append([monotonic(), caller.who, "turned away"])
+    def reject(self, connection: Connection) -> None:
+        self.answers.append([monotonic(), connection.peer, "turned away"])
         field = f"Retry-After: {self.plan.retry_after}\r\n" if self.plan.retry_after else ""
-        caller.transport.write(
+        connection.transport.write(
             f"HTTP/1.1 503 Busy\r\n{field}Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
         )
-        caller.transport.close()
+        connection.transport.close()
 
-    def work(self) -> None:
-        if self.working or not self.line:
+    def serve_next(self) -> None:
+        if self.busy or not self.queue:
             return
-        self.working = True
-        caller = self.line.popleft()
-        text = self.text(caller.since)
+        self.busy = True
+        connection = self.queue.popleft()
+        text = self.encoded(connection.since)
         took = 1.0 / self.plan.per_s + len(text) / self.plan.bytes_per_s
-        asyncio.get_running_loop().call_later(took, self.done, caller, text)
+        asyncio.get_running_loop().call_later(took, self.finish, connection, text)
 
-    def done(self, caller: Caller, text: bytes) -> None:
-        self.working = False
-        gone = caller.transport.is_closing()
-        self.answers.append([monotonic(), caller.who, "for nobody" if gone else "answered"])
+    def finish(self, connection: Connection, text: bytes) -> None:
+        self.busy = False
+        gone = connection.transport.is_closing()
+        self.answers.append([monotonic(), connection.peer, "for nobody" if gone else "answered"])
         if self.plan.dies_at and len(self.answers) >= self.plan.dies_at and not self.died:
             self.died = True
             if not gone:
-                caller.answer(text[: len(text) // 2], cut=True)
+                connection.answer(text[: len(text) // 2], cut=True)
             # The half must be on its way before the reset.
             loop = asyncio.get_running_loop()
             loop.call_later(0.02, self.stop)
-            loop.call_later(0.02 + self.plan.dead_s, self._up)
+            loop.call_later(0.02 + self.plan.dead_s, self._start_again)
             return
         if not gone:
             self.bytes += len(text)
-            caller.answer(text)
-        self.work()
+            connection.answer(text)
+        self.serve_next()
 
-    def account(self) -> dict[str, Any]:
+    def books(self) -> dict[str, Any]:
         return {
-            "began": self.began, "calls": self.book, "answers": self.answers, "bytes": self.bytes,
+            "began": self.began, "calls": self.calls, "answers": self.answers, "bytes": self.bytes,
             "watches": len(self.watches), "version": self.version,
         }  # fmt: skip
 
 
-class Caller(asyncio.Protocol):
+class Connection(asyncio.Protocol):
     """One connection."""
 
     transport: asyncio.Transport
@@ -205,32 +205,32 @@
     def __init__(self, service: Service) -> None:
         self.service = service
         self.data = b""
-        self.who = ""
+        self.peer = ""
         self.since: int | None = None
-        self.asked = False
+        self.request_read = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.who = transport.get_extra_info("peername")[0]
-        self.service.callers.add(self)
+        self.peer = transport.get_extra_info("peername")[0]
+        self.service.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.service.callers.discard(self)
+        self.service.connections.discard(self)
         self.service.watches.discard(self)
 
     def data_received(self, data: bytes) -> None:
         self.data += data
-        if b"\r\n\r\n" not in self.data or self.asked:
+        if b"\r\n\r\n" not in self.data or self.request_read:
             return
-        self.asked = True
+        self.request_read = True
         target = self.data.split(b"\r\n", 1)[0].split(b" ")[1].decode("latin-1")
         if target.startswith("/books"):
-            text = json.dumps(self.service.account()).encode()
+            text = json.dumps(self.service.books()).encode()
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
             return self.transport.close()
         if "stream=1" in target:
             self.since = int(target.rpartition("index=")[2].split("&")[0])
-        self.service.call(self)
+        self.service.accept(self)
 
     def answer(self, text: bytes, cut: bool = False) -> None:
         """The whole answer, or the beginning of one; over the trickle's time, where there is one."""
@@ -266,11 +266,11 @@
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
     )
     while line := await reader.readline():
-        told = json.loads(line)
-        if "hosts" in told:
-            service.take(told["hosts"])
-        if "begin" in told:
-            service.begin(told["begin"])
+        command = json.loads(line)
+        if "hosts" in command:
+            service.replace_list(command["hosts"])
+        if "begin" in command:
+            service.begin(command["begin"])
 
 
 async def run(plan: Plan) -> None:
