--- a/rig/faults.py
+++ b/rig/faults.py
@@ -9,8 +9,8 @@
     2 trickle 4000 lists nodes             # bytes a second, both ways
     6 reset nodes lists                    # what stands breaks, once
 
-Members are named by group: `nodes`, `nodes[3]`, `nodes[10:20]`, `lists`, `nodos[...]`. A line without `until`
-holds to the end. What several lines say of one link adds up.
+Members are named by group: `nodes`, `nodes[3]`, `nodes[10:20]`, `lists`, or any other group of the run. A
+line without `until` holds to the end. What several lines say of one link adds up.
 """
 
 from __future__ import annotations
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -6,7 +6,7 @@
 Events are lines such as `1 kill nodes[:4] back 0.5` (started again so many seconds later), `2 term nodes[3]`,
 `2 stop nodes[0]`, `4 cont nodes[0]`, `3 move nodes` (SIGHUP with discovery at another address), or
 `0 loop nodes[:3] every 1 until 8`. Times count from the release. Each thing done is one line of JSON where a
-log is given. At the end the four rules are judged over the books of clients and nodos.
+log is given. At the end the four rules are judged over the books of clients and upstreams.
 """
 
 from __future__ import annotations
@@ -135,7 +135,7 @@
                 memory = max((one.resident_mb() for one in self.processes.members), default=0.0)
                 self._tell(self.proxy, {"counts": 1})
                 self.taken = json.loads(self.proxy.stdout.readline())["taken"]
-                books = self._fetch(self.nodos_port)
+                books = self._fetch(self.upstreams_port)
                 service = self._fetch(self.service_port)
                 crashes = self.processes.crashes()
             return self._result(told, books, service, memory, crashes)
@@ -148,9 +148,9 @@
         plan = dict(scenario.nodos)
         if scenario.cold:
             plan["fresh"] = plan.get("nodos", 12)
-        self.nodos = self._helper("standins.fleet", json.dumps(plan))
-        told = json.loads(self.nodos.stdout.readline())
-        self.nodos_port = told["port"]
+        self.upstreams = self._helper("standins.fleet", json.dumps(plan))
+        told = json.loads(self.upstreams.stdout.readline())
+        self.upstreams_port = told["port"]
         self.hosts: list[dict[str, Any]] = told["list"]["hosts"]
         self.service = self._helper("standins.listservice", json.dumps(scenario.service))
         self.service_port = json.loads(self.service.stdout.readline())["port"]
@@ -229,11 +229,11 @@
     def _release(self) -> None:
         begin = time.monotonic() + SETTLE_S
         if self.scenario.nodos.get("trouble"):  # its times count from here, a moment before the release
-            self.nodos.stdin.write(b"go\n")
-            self.nodos.stdin.flush()
+            self.upstreams.stdin.write(b"go\n")
+            self.upstreams.stdin.flush()
         if self.scenario.cold:
-            self.nodos.stdin.write(b"go\n")
-            self.nodos.stdin.flush()
+            self.upstreams.stdin.write(b"go\n")
+            self.upstreams.stdin.flush()
             self.hosts = self._reborn()
             self._tell(self.service, {"hosts": self._rows()})
         for process in (self.service, self.proxy, self.clients):
@@ -244,10 +244,10 @@
         self.say("release", balancers=self.scenario.balancers, links_with_faults=self.touched)
 
     def _reborn(self) -> list[dict[str, Any]]:
-        """The list, once all nodos have started anew."""
+        """The list, once all upstreams have started anew."""
         until = time.monotonic() + 5.0
         while True:
-            hosts: list[dict[str, Any]] = self._get(self.nodos_port, "/catalog/members")["hosts"]
+            hosts: list[dict[str, Any]] = self._get(self.upstreams_port, "/catalog/members")["hosts"]
             if all(row["born_ms"] for row in hosts) or time.monotonic() > until:
                 return hosts
             time.sleep(0.02)
@@ -345,7 +345,7 @@
         self, told: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
     ) -> dict[str, Any]:
         if not told or not books:
-            raise RuntimeError("the clients or the nodos told nothing")
+            raise RuntimeError("the clients or the upstreams gave no books")
         killed = self._killed(told["lost"])
         tries = [(i, name, "killed" if end == LOST and i in killed else end) for i, name, end in told["book"]]
         verdict = judge(books, tries, BRIEF, told["twice"])
