--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -100,13 +100,16 @@
         self.configure(drain_grace)
 
     def configure(self, drain_grace: float) -> None:
+        """Take over a new drain grace, in seconds; waits between calls stay under a part of it."""
         self.most = min(RETRY_S[1], max(RETRY_S[0], GRACE_PART * drain_grace))
 
     def first(self) -> float:
+        """Ask at once: an agent on the same machine answers one balancer."""
         self.tries = 0
         return 0.0
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
+        """Wait before the next call, in seconds: none in order, else exponential backoff with jitter."""
         if end is End.DONE or end is End.UNREAD:
             return 0.0
         wait = backoff(self.tries, self.rng, self.most)
@@ -114,12 +117,15 @@
         return wait
 
     def connect(self) -> float:
+        """How long a connection may take, in seconds."""
         return CONNECT_S
 
     def patience(self) -> float:
+        """How long the first line may take, in seconds."""
         return ANSWER_S
 
     def answered(self) -> None:
+        """Begin the backoff anew."""
         self.tries = 0
 
 
@@ -147,10 +153,12 @@
         self.most_wait = most_wait
 
     def first(self) -> float:
+        """Wait before the first call, in seconds: drawn from the spread interval of the fleet."""
         self.tries = 0
         return self.rng.random() * min(self.lap, TOLD_S - QUEUE_S)
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
+        """Wait before the next call, in seconds: spread over the fleet, under the bound of the list's age."""
         if end is End.DONE:
             return 0.0
         if end is End.UNREAD and self.now() >= self.unread_until:  # again and again, it is a failure
@@ -173,12 +181,15 @@
         return min(wait, most)
 
     def connect(self) -> float:
+        """How long a connection may take, in seconds."""
         return CONNECT_S
 
     def patience(self) -> float:
+        """How long the first line may take, in seconds: the service may have a queue."""
         return QUEUE_S
 
     def answered(self) -> None:
+        """Begin backoff and spread anew."""
         self.tries, self.stretch = 0, 1.0
 
 
--- a/quartzford/membership/listing.py
+++ b/quartzford/membership/listing.py
@@ -67,4 +67,5 @@
 class Sink(Protocol):
     """Who is told of the list."""
 
-    def listed(self, listing: Listing) -> None: ...
+    def listed(self, listing: Listing) -> None:
+        """Take a list, or changes of it, that could be read."""
--- a/quartzford/membership/pieces.py
+++ b/quartzford/membership/pieces.py
@@ -54,6 +54,7 @@
         self.following: Listing | None = None
 
     def put(self, listing: Listing) -> None:
+        """Add a listing; a whole one replaces all that waits."""
         if listing.whole:  # it says all that what is left would have said
             self.listings.clear()
             self.parts, self.following = iter(()), None
@@ -70,4 +71,5 @@
         return piece
 
     def waiting(self) -> bool:
+        """Whether any piece is left."""
         return self.following is not None or bool(self.listings)
--- a/quartzford/membership/registry.py
+++ b/quartzford/membership/registry.py
@@ -23,6 +23,7 @@
         self.version = 0
 
     def apply(self, listing: Listing) -> None:
+        """Apply a listing: a whole one replaces all rows, changes replace or remove the rows they name."""
         self.version = listing.version
         if listing.whole:
             self.rows.clear()
--- a/quartzford/membership/snapshot.py
+++ b/quartzford/membership/snapshot.py
@@ -41,10 +41,12 @@
     fresh_age: float
 
     def cold(self, age: float) -> bool:
+        """Whether the upstreams of a list of this age, in seconds, count as cold."""
         return age > self.fresh_age
 
 
 def encode(one: Snapshot) -> bytes:
+    """The file's bytes: a line of JSON with length and digest, then the list as JSON."""
     body = json.dumps(one.table, separators=(",", ":")).encode()
     head = {
         "format": FORMAT, "service": one.service, "taken_ms": one.taken_ms, "bytes": len(body),
@@ -58,30 +60,47 @@
     if len(data) > MOST_BYTES:
         raise SnapshotError(f"{len(data)} bytes are more than a list has")
     line, found, body = data.partition(b"\n")
+    if not found:
+        raise SnapshotError("it does not begin with a snapshot's line")
+    head = _read_head(line)
+    _check_body(head, body)
+    service, taken_ms = _origin(head)
+    try:
+        table = json.loads(body)
+    except (ValueError, RecursionError):
+        raise SnapshotError("the list is not JSON") from None
+    if not isinstance(table, dict):
+        raise SnapshotError("the list is not an object")
+    return Snapshot(service, taken_ms, table)
+
+
+def _read_head(line: bytes) -> dict[str, Any]:
     try:
         head = json.loads(line)
-        if not isinstance(head, dict) or not found:
+        if not isinstance(head, dict):
             raise ValueError
     except (ValueError, RecursionError):
         raise SnapshotError("it does not begin with a snapshot's line") from None
+    return head
+
+
+def _check_body(head: dict[str, Any], body: bytes) -> None:
     if head.get("format") != FORMAT:
         raise SnapshotError(f"format {head.get('format')!r} is not {FORMAT}")
     if head.get("bytes") != len(body):
         raise SnapshotError(f"cut off: {len(body)} bytes of {head.get('bytes')!r}")
     if head.get("sha256") != hashlib.sha256(body).hexdigest():
         raise SnapshotError("damaged: its digest differs")
+
+
+def _origin(head: dict[str, Any]) -> tuple[str, float]:
+    """Of which service the list is, and when it was taken (Unix time in ms)."""
     service, taken = head.get("service"), head.get("taken_ms")
     if not isinstance(service, str) or isinstance(taken, bool) or not isinstance(taken, int | float):
         raise SnapshotError("service or taken_ms is missing")
     if not math.isfinite(taken):
         raise SnapshotError("taken_ms is not a moment")
-    try:
-        table = json.loads(body)
-    except (ValueError, RecursionError):
-        raise SnapshotError("the list is not JSON") from None
-    if not isinstance(table, dict):
-        raise SnapshotError("the list is not an object")
-    return Snapshot(service, float(taken), table)
+    return service, float(taken)
 
 
 def usable(one: Snapshot, service: str, now_ms: float, rule: Rule) -> float:
--- a/quartzford/membership/snapshot_writer.py
+++ b/quartzford/membership/snapshot_writer.py
@@ -119,6 +119,7 @@
             self.list_changed()
 
     def stop(self) -> None:
+        """Write nothing from now on; a write that is under way ends by itself."""
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -85,6 +85,7 @@
         return self.call is not None and self.call.told
 
     def stop(self) -> None:
+        """End all calls and make none from now on."""
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
@@ -93,6 +94,7 @@
                 call.close()
 
     def line(self, text: bytes) -> bool:
+        """Read one line of a watch; False where it is of no use and the call has to end."""
         try:
             listing = read_listing(text)
         except ValueError as error:
@@ -100,6 +102,7 @@
         return self.read(listing)
 
     def bad(self, error: Exception) -> bool:
+        """Log a line that can't be read and forget the version, so that the next call asks for all."""
         self.log.line("discovery", f"a bad line: {error}")
         self.version = None
         return False
@@ -136,6 +139,7 @@
         return True
 
     def ended(self, call: Call, again: bool) -> None:
+        """A call is over: schedule the next. again: it ended in order."""
         if call is self.kept:
             self.kept = None
         if call is not self.call:
@@ -181,6 +185,7 @@
             self._unreached()
 
     def close(self) -> None:
+        """End the call out of order; nothing where it is over."""
         self._end(again=False)
 
     def _unreached(self) -> None:
@@ -208,6 +213,7 @@
         self.owner.ended(self, again)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request; from now on the first line is waited for."""
         self.transport = cast(asyncio.Transport, transport)
         if self.over:
             return self.transport.abort()
@@ -219,6 +225,7 @@
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n{close}\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
+        """Feed the parser; an answer that is complete ends the call."""
         if self.over:
             return
         try:
@@ -229,12 +236,14 @@
             self._whole()
 
     def eof_received(self) -> None:
+        """An answer without a length ends with its connection."""
         if not self.over and not self.watch and self.buffer and not self.reading:
             self._whole()
         if not self.reading:
             self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
+        """End the call, once what came before has been read."""
         self.parser = None
         self.lost = True
         if not self.reading:  # else the connection's end waits for what came before it
@@ -293,10 +302,12 @@
     # ---- httptools
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Note Retry-After."""
         if name.lower() == b"retry-after":
             self.retry_after = retry_after(value.decode("latin-1"), self.clock.unix_ms() / 1000.0)
 
     def on_headers_complete(self) -> None:
+        """End the call on any status but 200; 429 and 503 count as turned away."""
         if (status := self.parser.get_status_code()) != 200:
             self.why = str(status)
             if status in (429, 503):
@@ -304,6 +315,7 @@
             self.close()
 
     def on_body(self, data: bytes) -> None:
+        """Collect bytes, and hand out the complete lines of a watch."""
         if self.over:
             return
         self.buffer += data
@@ -331,4 +343,5 @@
                 self._end(again=True)
 
     def on_message_complete(self) -> None:
+        """The answer is complete."""
         self.finished = True
--- a/rig/clients.py
+++ b/rig/clients.py
@@ -61,6 +61,7 @@
             self._sum()
 
     def reached(self, number: int) -> None:
+        """A connection was taken: forget earlier refusals."""
         self.refused.pop(number, None)
 
     async def watch(self, number: int) -> None:
@@ -96,6 +97,7 @@
         self.by: list[list[Member]] = [[] for _ in range(count)]
 
     def append(self, link: Member) -> None:
+        """Add a connection that is idle."""
         self.by[link.where].append(link)
 
     def __iter__(self) -> Iterator[Member]:
@@ -113,10 +115,12 @@
     made = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note when the connection stood, on the monotonic clock."""
         self.made = monotonic()
         super().connection_made(transport)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Note the attempt that went down with the connection."""
         if self.attempt is not None and not self.attempt.over:
             self.driver.lost(self.attempt, self)
         super().connection_lost(error)
@@ -146,9 +150,11 @@
         self._dial(attempt, where)
 
     def lost(self, attempt: Try, link: Member) -> None:
+        """Note where an attempt was lost, and from when to when its connection stood."""
         self.at[self._identity(attempt.job)] = link.where, link.made, monotonic()
 
     def connect(self, attempt: Try, fresh: bool = False) -> None:
+        """Open a connection to a balancer of the front's choice for an attempt."""
         self._dial(attempt, self.front.pick())
 
     def _dial(self, attempt: Try, where: int) -> None:
@@ -185,6 +191,7 @@
 
 
 async def run() -> None:
+    """Play the plan that is read from standard input and print the result as a line of JSON."""
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=2**26)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
@@ -216,6 +223,7 @@
 
 
 def main() -> int:
+    """Run until the plan is played; the exit status."""
     uvloop.run(run())
     return 0
 
--- a/rig/fault_proxy.py
+++ b/rig/fault_proxy.py
@@ -51,6 +51,7 @@
         return monotonic() - self.began
 
     async def listen(self) -> list[int]:
+        """Open a listener or datagram socket for each link; their ports, in the order of the links."""
         ports = []
         for number, (_, _, kind, at, _, _) in enumerate(self.rows):
             if kind == "tcp":
@@ -68,6 +69,7 @@
         return ports
 
     def begin(self, at: float) -> None:
+        """Set the release, on the monotonic clock in seconds, and schedule the faults."""
         self.began = at
         for number, link in enumerate(self.links):
             for moment in self.script.resets(link):
@@ -76,6 +78,7 @@
             self.loop.call_later(max(0.0, moment - self.now()) + 0.001, self.fault_changed)
 
     def reset(self, number: int) -> None:
+        """Abort all connections of a link."""
         for connection in [connection for connection in self.connections if connection.number == number]:
             self.counts["reset"] += 1
             connection.abort()
@@ -86,6 +89,7 @@
             connection.resume()
 
     def target(self, number: int) -> tuple[str, int]:
+        """The address that a link leads to."""
         host, port = self.rows[number][4]
         return host, port
 
@@ -103,6 +107,7 @@
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection and open the way to the target."""
         self.transport = cast(asyncio.Transport, transport)
         self.proxy.connections.add(self)
         self.open()
@@ -138,16 +143,20 @@
         self.outbound.pump()
 
     def data_received(self, data: bytes) -> None:
+        """Pass bytes on to the target."""
         self.outbound.take(data)
 
     def eof_received(self) -> bool:
+        """Pass the end of the stream on; the other direction stays open."""
         self.outbound.end()
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
+        """End both sides."""
         self.abort()
 
     def resume(self) -> None:
+        """A fault has begun or ended: a hanging connection reaches its target, and what is due is written."""
         if self.hanging and self.proxy.script.opens(self.link, self.proxy.now()) == "yes":
             self.hanging = False
             self.transport.resume_reading()
@@ -156,6 +165,7 @@
         self.inbound.pump()
 
     def abort(self) -> None:
+        """Abort both sides, once."""
         if not self.closed:
             self.closed = True
             self.proxy.connections.discard(self)
@@ -171,13 +181,16 @@
         self.connection = connection
 
     def data_received(self, data: bytes) -> None:
+        """Pass bytes back to the caller."""
         self.connection.inbound.take(data)
 
     def eof_received(self) -> bool:
+        """Pass the end of the stream back."""
         self.connection.inbound.end()
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
+        """End both sides, unless the stream had ended in order."""
         if error is not None or not self.connection.inbound.ended:
             self.connection.abort()
 
@@ -194,6 +207,7 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def take(self, data: bytes) -> None:
+        """Queue bytes, each piece with the moment at which it may pass."""
         proxy = self.connection.proxy
         way = proxy.script.way(self.connection.link, proxy.now(), self.outbound)
         self.free_at = max(monotonic(), self.free_at) + lag(way, len(data), proxy.rng)
@@ -213,6 +227,7 @@
             self.pending.append((self.free_at - (len(pieces) - 1 - n) * 0.1, piece))
 
     def end(self) -> None:
+        """Note the end of the stream; it is passed on behind the last byte."""
         self.ended = True
         self.pump()
 
@@ -261,10 +276,12 @@
         self.proxy, self.number, self.link = proxy, number, proxy.links[number]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the socket under its link."""
         self.transport = cast(asyncio.DatagramTransport, transport)
         self.proxy.datagram_links[self.link] = self
 
     def datagram_received(self, data: bytes, address: Any) -> None:
+        """Send as many copies as the script says, each after its delay."""
         proxy = self.proxy
         way = proxy.script.way(self.link, proxy.now(), True)
         arrivals = datagram(way, proxy.rng)
@@ -278,10 +295,12 @@
         answers.transport.sendto(data, self.proxy.target(self.number))
 
     def error_received(self, error: Exception) -> None:
+        """Count a datagram that nobody took."""
         self.proxy.counts["datagrams refused"] += 1
 
 
 async def run() -> None:
+    """Serve the plan that is read from standard input until that is closed."""
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=2**27)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
@@ -299,6 +318,7 @@
 
 
 def main() -> int:
+    """Run until standard input is closed; the exit status."""
     uvloop.run(run())
     return 0
 
--- a/rig/faults.py
+++ b/rig/faults.py
@@ -91,6 +91,7 @@
 
 
 def read_line(line: str, groups: Mapping[str, int]) -> Fault:
+    """One line of a script as a fault; ScriptError names what is wrong with it."""
     words = line.split()
     try:
         at, kind, *rest = words
--- a/rig/gate.py
+++ b/rig/gate.py
@@ -10,6 +10,7 @@
 
 
 def main() -> int:
+    """Import the checkout's program, wait for the release, run it; its exit status."""
     checkout = sys.argv[1]
     sys.path[0] = checkout
     sys.argv = ["quartzford", *sys.argv[2:]]
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -61,12 +61,14 @@
             raise RuntimeError(f"{self.name} did not start: {self.last_words()}")
 
     def release(self) -> None:
+        """Let it pass the gate."""
         assert self.running is not None and self.running.stdin is not None
         with contextlib.suppress(BrokenPipeError):
             self.running.stdin.write(b"go\n")
             self.running.stdin.flush()
 
     def signal(self, what: str) -> None:
+        """Send a signal by its name in SIGNALS; nothing where no process is running."""
         if self.running is not None and self.running.poll() is None:
             self.wanted_end = self.wanted_end or what in ("kill", "term")
             self.running.send_signal(SIGNALS[what])
@@ -81,6 +83,7 @@
         self.running = None
 
     def close_pipes(self) -> None:
+        """Close its standard input and output on this side."""
         pipes: list[IO[bytes] | None] = [self.running.stdin, self.running.stdout] if self.running else []
         for pipe in pipes:
             if pipe is not None:
@@ -88,6 +91,7 @@
                     pipe.close()
 
     def last_words(self) -> str:
+        """The last line of its log, at most 200 characters; "" if there is none."""
         try:
             lines = self.log.read_text(errors="replace").splitlines()
         except OSError:
@@ -95,6 +99,7 @@
         return lines[-1][:200] if lines else ""
 
     def resident_mb(self) -> float:
+        """Resident memory in MB (10^6 bytes); 0 where it is not running."""
         if self.running is None:
             return 0.0
         try:
@@ -154,6 +159,7 @@
             one.close_pipes()
 
     def crashes(self) -> list[str]:
+        """What ended unasked, a line each."""
         for one in self.members:
             one.note_end()
         return [text for one in self.members for text in one.crashes]
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -82,6 +82,7 @@
 
 
 def read_events(text: str, groups: dict[str, int]) -> list[Event]:
+    """The events of a script, in order of time; ScriptError names a line that is wrong."""
     events = []
     for line in filter(None, (line.partition("#")[0].strip() for line in text.splitlines())):
         words = line.split()
@@ -122,6 +123,7 @@
     # ---- putting it together
 
     def play(self) -> dict[str, Any]:
+        """Start everything, carry the script out, end everything; the result."""
         with self.stack:
             self._stand_ins()
             self._fault_proxy()
--- a/standins/listservice.py
+++ b/standins/listservice.py
@@ -77,6 +77,7 @@
         self.encoded_whole: tuple[int, bytes] = 0, b""  # the whole list's text, and of which version
 
     async def start(self) -> None:
+        """Listen at the plan's address; the port stays the same after a death."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: Connection(self), self.plan.address, self.port, backlog=4096, reuse_address=True
@@ -94,6 +95,7 @@
         self.watches.clear()
 
     def begin(self, at: float) -> None:
+        """Set the release, on the monotonic clock in seconds, and schedule the spans in which it is down."""
         self.began = at
         loop, now = asyncio.get_running_loop(), monotonic()
         for begin, end in self.plan.downs:
@@ -109,6 +111,7 @@
             asyncio.ensure_future(self.start())
 
     def mute(self) -> bool:
+        """Whether it answers nothing at this moment."""
         since = monotonic() - self.began
         return any(begin <= since < end for begin, end in self.plan.mute)
 
@@ -140,6 +143,7 @@
         return json.dumps({"seq": self.version, "whole": whole, "hosts": rows}).encode() + b"\n"
 
     def send_changes(self, watch: Connection, since: int | None) -> None:
+        """Write what changed after a version to a watch, as one chunk."""
         text = self.encoded(since)
         self.bytes += len(text)
         watch.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
@@ -147,6 +151,7 @@
     # ---- calls
 
     def accept(self, connection: Connection) -> None:
+        """Note a call and put it into the queue, or reject it where the queue is too long."""
         self.calls.append([monotonic(), connection.peer, "whole" if connection.since is None else "changes"])
         if self.mute():
             return
@@ -156,6 +161,7 @@
         self.serve_next()
 
     def reject(self, connection: Connection) -> None:
+        """Answer 503, with Retry-After where the plan has it, and close."""
         self.answers.append([monotonic(), connection.peer, "turned away"])
         field = f"Retry-After: {self.plan.retry_after}\r\n" if self.plan.retry_after else ""
         connection.transport.write(
@@ -164,6 +170,7 @@
         connection.transport.close()
 
     def serve_next(self) -> None:
+        """Begin with the first call of the queue, unless one is being worked on."""
         if self.busy or not self.queue:
             return
         self.busy = True
@@ -173,6 +180,7 @@
         asyncio.get_running_loop().call_later(took, self.finish, connection, text)
 
     def finish(self, connection: Connection, text: bytes) -> None:
+        """Answer the call that was worked on, if its caller is still there; or die in the middle of it."""
         self.busy = False
         gone = connection.transport.is_closing()
         self.answers.append([monotonic(), connection.peer, "for nobody" if gone else "answered"])
@@ -191,6 +199,7 @@
         self.serve_next()
 
     def books(self) -> dict[str, Any]:
+        """What it saw, as GET /books gives it: moments on the monotonic clock in seconds."""
         return {
             "began": self.began, "calls": self.calls, "answers": self.answers, "bytes": self.bytes,
             "watches": len(self.watches), "version": self.version,
@@ -210,15 +219,18 @@
         self.request_read = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection and note the address that it is from."""
         self.transport = cast(asyncio.Transport, transport)
         self.peer = transport.get_extra_info("peername")[0]
         self.service.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Forget the connection."""
         self.service.connections.discard(self)
         self.service.watches.discard(self)
 
     def data_received(self, data: bytes) -> None:
+        """Read the request, once its head is complete."""
         self.data += data
         if b"\r\n\r\n" not in self.data or self.request_read:
             return
@@ -274,6 +286,7 @@
 
 
 async def run(plan: Plan) -> None:
+    """Serve until SIGTERM; prints the port as a line of JSON."""
     service = Service(plan)
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[None] = loop.create_future()
@@ -288,11 +301,13 @@
 
 
 def plan_of(table: dict[str, Any]) -> Plan:
+    """A plan of its JSON form."""
     spans = {name: tuple(tuple(span) for span in table[name]) for name in ("downs", "mute") if name in table}
     return Plan(**table | spans)
 
 
 def main() -> int:
+    """Serve the plan of the command line; the exit status."""
     uvloop.run(run(plan_of(json.loads(sys.argv[1] if len(sys.argv) > 1 else "{}"))))
     return 0
 
