Operator's file: sections for relays, and the command that runs one

Need: balancers of a large fleet ask one of several relays instead of the one list service. All of it takes a restart.

--- a/quartzford/__main__.py
+++ b/quartzford/__main__.py
@@ -65,6 +65,8 @@
     commands = parser.add_subparsers(dest="command", required=True)
     serving = commands.add_parser("serve", help="run a balancer with what an operator's file switches on")
     serving.add_argument("--operator", required=True, metavar="FILE")
+    relaying = commands.add_parser("relay", help="pass a list service's lists on to thousands of balancers")
+    relaying.add_argument("--operator", required=True, metavar="FILE")
     checking = commands.add_parser("check", help="say whether an operator's file can be used, and why not")
     checking.add_argument("file", metavar="FILE")
     commands.add_parser("load", help="drive a balancer with open-loop load, and measure", add_help=False)
@@ -74,6 +76,13 @@
         if options.command == "check":
             load_operator(options.file)
             print(f"{options.file}: can be used")
+        elif options.command == "relay":
+            settings = load_operator(options.operator).relay
+            if settings is None:
+                raise OperatorError(f"{options.operator}: no section [relay]")
+            from quartzford.relay.relay import run as relay
+
+            uvloop.run(relay(settings))
         else:
             uvloop.run(serve(options.operator))
     except OperatorError as error:
--- a/quartzford/settings/operatorfile.py
+++ b/quartzford/settings/operatorfile.py
@@ -27,6 +27,7 @@
     "retry": "x-quartzford-retry",
     "within": "x-quartzford-within",
 }
+MOST_RELAYS = 1_000
 # Envoy keeps these from mutation, or gives them a meaning of its own.
 RESERVED = ("host", "connection", "content-length", "transfer-encoding", "cookie", "te", "upgrade")
 
@@ -80,6 +81,25 @@
     snapshot: str = ""  # a file on a lasting disk
     snapshot_age_s: float = 3_600.0  # an older one is not used
     snapshot_fresh_s: float = 60.0  # an older one's upstreams are taken for cold at first
+    relays: tuple[str, ...] = ()  # host:port; asked in place of the configuration's discovery address
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """Section [relay], for `quartzford relay` alone. docs/operators/relay.md"""
+
+    listen: str  # host:port; port 0: the kernel's choice
+    source: str  # host:port of the list service
+    balancers: int  # of the whole fleet
+    relays: int = 1  # that share the fleet
+    whole_bytes_per_s: float = 50_000_000.0  # whole lists are let out at no more
+    most_watchers: int = 0  # open watches; 0: worked out from the fleet and the relays
+    source_calls_per_s: float = 50.0  # that the source answers
+
+    def watchers(self) -> int:
+        """The bound on open watches: a quarter over the share that is left with a quarter of relays gone."""
+        left = max(1, self.relays - math.ceil(self.relays / 4))
+        return self.most_watchers or math.ceil(1.25 * self.balancers / left)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +111,7 @@
     trace: TraceSettings | None = None
     subset: SubsetSettings | None = None
     lists: ListsSettings | None = None
+    relay: RelaySettings | None = None
 
 
 Check = Callable[[str, Any], Any]
@@ -132,6 +153,35 @@
     return text
 
 
+def endpoint(text: str) -> tuple[str, int]:
+    """Host and port of a checked host:port."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _peer(key: str, value: Any) -> str:
+    """An address that is called: it needs a port of its own."""
+    text = _address(key, value)
+    host, port = endpoint(text)
+    if not host or not port:
+        raise OperatorError(f"{key}: {text!r} can't be called: it takes a host and a port over 0")
+    return text
+
+
+def _peers(key: str, value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise OperatorError(f"{key}: {value!r} is not a list of host:port")
+    if len(value) > MOST_RELAYS:
+        raise OperatorError(f"{key}: {len(value)} addresses are over {MOST_RELAYS}")
+    peers = tuple(_peer(f"{key}[{at}]", text) for at, text in enumerate(value))
+    seen: set[tuple[str, int]] = set()
+    for text in peers:
+        if endpoint(text) in seen:
+            raise OperatorError(f"{key}: {text!r} is named twice")
+        seen.add(endpoint(text))
+    return peers
+
+
 def _headers(key: str, value: Any) -> tuple[tuple[str, str], ...]:
     if not isinstance(value, dict):
         raise OperatorError(f"{key}: {value!r} is not a table")
@@ -225,6 +275,7 @@
     "snapshot": _text,
     "snapshot_age_s": _number(1, 31_536_000),
     "snapshot_fresh_s": _number(0, 31_536_000),
+    "relays": _peers,
 }
 
 
@@ -238,6 +289,34 @@
     return settings
 
 
+RELAY: dict[str, Check] = {
+    "listen": _address,
+    "source": _peer,
+    "balancers": _count(1, 10_000_000),
+    "relays": _count(1, MOST_RELAYS),
+    "whole_bytes_per_s": _number(1_000, 1e12),
+    "most_watchers": _count(0, 10_000_000),
+    "source_calls_per_s": _number(0.01, 1_000_000),
+}
+
+
+def _relay(key: str, value: Any) -> RelaySettings:
+    table = _table(key, value, RELAY)
+    for name in ("listen", "source", "balancers"):
+        if name not in table:
+            raise OperatorError(f"{key}.{name}: missing")
+    settings = RelaySettings(**table)
+    if endpoint(settings.listen) == endpoint(settings.source):
+        raise OperatorError(f"{key}.source: {settings.source!r} is the relay's own address, {key}.listen")
+    share = math.ceil(settings.balancers / settings.relays)
+    if 0 < settings.most_watchers < share:
+        raise OperatorError(
+            f"{key}.most_watchers: {settings.most_watchers} is under this relay's share of the fleet, "
+            f"{settings.balancers} balancers over {settings.relays} relays: {share}"
+        )
+    return settings
+
+
 def read_operator(text: str) -> OperatorSettings:
     """The settings in a file's text; OperatorError where it can't be used."""
     try:
@@ -246,8 +325,14 @@
         raise OperatorError(f"not TOML: {error}") from None
     checks: dict[str, Check] = {
         "config": _text, "extproc": _extproc, "trace": _trace, "subset": _subset, "lists": _lists,
+        "relay": _relay,
     }  # fmt: skip
-    return OperatorSettings(**_table("", table, checks))
+    settings = OperatorSettings(**_table("", table, checks))
+    if settings.relay is not None and settings.lists is not None:
+        source = endpoint(settings.relay.source)
+        if any(endpoint(text) == source for text in settings.lists.relays):
+            raise OperatorError(f"relay.source: {settings.relay.source!r} is a relay itself, of lists.relays")
+    return settings
 
 
 def load_operator(path: str) -> OperatorSettings:
@@ -265,11 +350,12 @@
         for name in ("listen", "workers", "most_streams", "token_key_file"):
             if getattr(old.extproc, name) != getattr(new.extproc, name):
                 return f"extproc.{name}"
-    parts = ("trace", "subset", "lists")
+    parts = ("trace", "subset", "lists", "relay")
     return next((name for name in parts if getattr(old, name) != getattr(new, name)), "")
 
 
 assert {f.name for f in fields(SubsetSettings)} == set(SUBSET)
 assert {f.name for f in fields(ListsSettings)} == set(LISTS)
+assert {f.name for f in fields(RelaySettings)} == set(RELAY)
 assert {f.name for f in fields(TraceSettings)} == set(TRACE)
 assert {f.name for f in fields(ExtprocSettings)} == set(EXTPROC)
--- a/tests/test_extproc_process.py
+++ b/tests/test_extproc_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 from contextlib import suppress
 from pathlib import Path
@@ -18,7 +19,13 @@
 from peers import SETTINGS, run, until
 
 from quartzford.serve import config_path
-from quartzford.settings.operatorfile import ExtprocSettings, OperatorError, read_operator, takes_restart
+from quartzford.settings.operatorfile import (
+    ExtprocSettings,
+    OperatorError,
+    RelaySettings,
+    read_operator,
+    takes_restart,
+)
 from standins.caller import CallerProxy, Policy
 from standins.nodo import Nodo, fleet
 
@@ -218,6 +225,7 @@
 
 
 GOOD = '[extproc]\nlisten = "127.0.0.1:9090"\n'
+RELAY = '[relay]\nlisten = "127.0.0.1:9301"\nsource = "127.0.0.1:8500"\nbalancers = 4600\n'
 BAD = [
     ("[trace]", "trace.file: missing"),
     ("[subset]", "subset.size: missing"),
@@ -228,6 +236,24 @@
     ("[lists]\nsnapshot_age_s = 5", "lists.snapshot_fresh_s: 60 is over snapshot_age_s, 5"),
     ("[lists]\nsnapshot = 5", "lists.snapshot: 5 is not a line of text"),
     ("[lists]\nservice = 1", "lists.service: no such key"),
+    ('[lists]\nrelays = "a:1"', "lists.relays: 'a:1' is not a list"),
+    ('[lists]\nrelays = ["a:1", 5]', "lists.relays[1]: 5 is not a line of text"),
+    ('[lists]\nrelays = ["9301"]', "lists.relays[0]: '9301' is not host:port"),
+    ('[lists]\nrelays = ["a:0"]', "lists.relays[0]: 'a:0' can't be called"),
+    ('[lists]\nrelays = [":9301"]', "lists.relays[0]: ':9301' is not host:port"),
+    ('[lists]\nrelays = ["[]:9301"]', "lists.relays[0]: '[]:9301' can't be called"),
+    ('[lists]\nrelays = ["a:1", "b:1", "a:01"]', "lists.relays: 'a:01' is named twice"),
+    (RELAY.replace("listen", "# listen"), "relay.listen: missing"),
+    (RELAY.replace("source", "# source"), "relay.source: missing"),
+    (RELAY.replace("balancers", "# balancers"), "relay.balancers: missing"),
+    (RELAY.replace(":8500", ":9301"), "relay.source: '127.0.0.1:9301' is the relay's own address"),
+    (RELAY.replace(":8500", ":0"), "relay.source: '127.0.0.1:0' can't be called"),
+    (RELAY + "relays = 0", "relay.relays: 0 is not from 1"),
+    (RELAY + "relays = 11\nmost_watchers = 418", "relay.most_watchers: 418 is under this relay's share"),
+    (RELAY + "whole_bytes_per_s = 0", "relay.whole_bytes_per_s: 0 is not from 1000"),
+    (RELAY + "source_calls_per_s = 0", "relay.source_calls_per_s: 0 is not from 0.01"),
+    (RELAY + "hosts = 3", "relay.hosts: no such key"),
+    (RELAY + '[lists]\nrelays = ["127.0.0.1:8500"]', "relay.source: '127.0.0.1:8500' is a relay itself"),
     ("[extproc", "not TOML"),
     ("extproc = 3", "extproc: 3 is not a table"),
     ("[extproc]\nworkers = 2", "extproc.listen: missing"),
@@ -266,6 +292,25 @@
     assert takes_restart(one, read_operator("")) == "extproc"
 
 
+def test_a_relays_section_and_the_relays_that_balancers_ask() -> None:
+    settings = read_operator(RELAY + "relays = 11").relay
+    assert settings == RelaySettings("127.0.0.1:9301", "127.0.0.1:8500", 4_600, 11)
+    assert settings.watchers() == 719  # 1.25 * 4,600 over the eight that are left of eleven
+    assert read_operator(RELAY + "relays = 11\nmost_watchers = 419").relay.watchers() == 419  # type: ignore[union-attr]
+    named = read_operator('[lists]\nrelays = ["127.0.0.1:9301", "h:2"]')
+    assert named.lists is not None and named.lists.relays == ("127.0.0.1:9301", "h:2")
+    assert takes_restart(named, read_operator('[lists]\nrelays = ["h:2"]')) == "lists"
+    assert takes_restart(read_operator(RELAY), read_operator(RELAY + "relays = 2")) == "relay"
+
+
+def test_a_relay_without_its_section_ends_with_one_line(tmp_path: Path) -> None:
+    (tmp_path / "operator.toml").write_text("[lists]\n")
+    command = [sys.executable, "-m", "quartzford", "relay", "--operator", str(tmp_path / "operator.toml")]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr.count("\n") == 1 and "no section [relay]" in done.stderr
+
+
 def test_the_variable_goes_before_the_file_and_is_seen_from_here(monkeypatch: pytest.MonkeyPatch) -> None:
     settings = read_operator('config = "balancer.json"')
     monkeypatch.setenv("EDGE_CONFIG", "here/c.json")
