Watch asks one address or several relays; the policy of calls for relays

Need: the list service can't be asked by thousands of balancers; relays pass its lists on, and a balancer has to move between them within six seconds, by index. Change: membership/addresses.py chooses the target of a call (Single as before, Relays by rendezvous hashing), membership/relaycalls.py says when: next relay at once, round under six seconds where all have turned away, the source at the fleet's bounded rate where all are gone, back to a better place beside the watch that stands. A call keeps its target: the address was asked at the connect and again at the request. A whole list may have 16 MB (4 before: a list of 63,000 has 8.7 and could not be read). lists.relays with pushed lists is refused with its key. Nothing more is imported in the platform's run.

--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -79,6 +79,9 @@
     def answered(self) -> None:
         """The list, or its changes, came."""
 
+    def back(self) -> float:
+        """Wait, while a watch stands, before a better place is tried."""
+
 
 def backoff(tries: int, rng: random.Random, most: float = RETRY_S[1]) -> float:
     """The wait of one that asks alone."""
@@ -128,6 +131,9 @@
         """Begin the backoff anew."""
         self.tries = 0
 
+    def back(self) -> float:
+        return math.inf
+
 
 class Shared:
     """One service for a whole fleet.
@@ -192,6 +198,9 @@
         """Begin backoff and spread anew."""
         self.tries, self.stretch = 0, 1.0
 
+    def back(self) -> float:
+        return math.inf
+
 
 def retry_after(value: str, unix_s: float) -> float:
     """Seconds that a Retry-After field asks for; 0 of what can't be read. RFC 9110, section 10.2.3.
--- /dev/null
+++ b/quartzford/membership/relaycalls.py
@@ -0,0 +1,143 @@
+"""When the relays of a list service are called, and when the service itself. No I/O.
+
+Six seconds hold as in calls.py. A relay that says nothing is noticed 2.75 s after its last line, and up to
+two more may be dead or stopped in a row: 2.75 + 0.5 (spread) + 2 * (1.0 + 0.2) = 5.65 s, and the fourth
+answers by index at once. So a connection has 0.6 s, the first line by index 1.0 s, and the next relay is
+asked within 0.2 s. A call that was accepted and is late is kept beside the next (a whole list takes longer).
+
+- Where each relay has failed and one of them has turned a call away, it lives and has lost the source: the
+  list in use stays, and calls go round so that each relay is asked again within the six seconds.
+- Where all are gone the source is asked directly, at a moment drawn evenly from the fleet's lap (the time in
+  which it can answer one call of each balancer) and a lap later again, not cut at six seconds: the fleet asks
+  it no more often than it can bear. The relays go on being tried meanwhile.
+- Who stands elsewhere than at its first relay tries a better place after a time drawn from RETURN_S, beside
+  the watch that stands.
+
+Versions are the source's own, and a balancer goes on by index at any relay; a relay that is behind lets an
+index ahead of its own wait for the source's next line, and tells a whole list of a lower version only where
+the source has begun again. What remains, each until the relay's next line from the source:
+
+- The source's empty line to a relay is overtaken by a change's way over another relay and a balancer: the
+  index is taken for one of another life, and an older list comes just before the changes to it.
+- The source has begun again and a relay has not noticed: a balancer that comes from one that has is told the
+  earlier life's changes, until the relay tells the new life's list.
+- A balancer that could not read a line asks a relay for everything, and that is behind.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+
+from quartzford.membership.addresses import Relays
+from quartzford.membership.calls import (
+    CONNECT_S,
+    QUEUE_S,
+    RETRY_S,
+    SMALL,
+    STRETCH,
+    STRETCH_MOST,
+    TOLD_S,
+    WAIT_BOUND,
+    WAIT_SPREAD,
+    End,
+    Shared,
+    backoff,
+)
+
+RELAY_CONNECT_S = 0.6  # nobody at a relay took the connection for so long
+RELAY_LINE_S = 1.0  # a relay's first line by index, from the connection on
+JITTER_S = 0.2  # at most, from a failed call to the next relay's
+LOST_SPREAD_S = 0.5  # all watches of a relay end in one moment: its balancers' next calls
+RETURN_S = (30.0, 90.0)  # from the moment a watch stands to the next try of a better place
+RELAY_CALLS_PER_S = 200.0  # that a relay answers, for the spread of a start
+LATER = (1.0, 1.25)  # of the time after which a relay wants to be asked again
+
+
+class RelayCalls(Shared):
+    """The policy for relays, with `Relays` as its addresses; see the module.
+
+    balancers and per_s are the fleet's size and the list service's rate, as in `Shared`.
+    """
+
+    def __init__(
+        self, relays: Relays, balancers: int, per_s: float, most_wait: float, rng: random.Random,
+        now: Callable[[], float],
+    ) -> None:  # fmt: skip
+        self.relays = relays
+        self.costs: deque[float] = deque(maxlen=len(relays.order))  # what the last round's calls took
+        self.direct_at: float | None = None  # the list service is asked
+        self.direct_free = -math.inf  # not before
+        super().__init__(balancers, per_s, most_wait, rng, now)
+
+    def configure(self, balancers: int, per_s: float, most_wait: float) -> None:
+        super().configure(balancers, per_s, most_wait)
+        self.relay_lap = max(0.0, balancers / len(self.relays.order) - SMALL) / RELAY_CALLS_PER_S
+
+    def first(self) -> float:
+        self.tries = 0
+        return self.rng.random() * min(self.relay_lap, TOLD_S - QUEUE_S)
+
+    def connect(self) -> float:
+        return CONNECT_S if self.relays.asked_direct else RELAY_CONNECT_S
+
+    def patience(self) -> float:
+        return RELAY_LINE_S if self.relays.known and not self.relays.asked_direct else QUEUE_S
+
+    def answered(self) -> None:
+        super().answered()
+        self.costs.clear()
+        self.direct_at = None
+
+    def back(self) -> float:
+        return self.rng.uniform(*RETURN_S)
+
+    def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
+        if end is End.DONE:
+            return 0.0
+        if end is End.LOST:
+            return self.rng.random() * LOST_SPREAD_S
+        if end is End.UNREAD and self.now() >= self.unread_until:
+            self.unread_until = self.now() + RETRY_S[1]
+            return 0.0
+        if self.relays.failed_direct:
+            self._direct_failed(end)
+        else:
+            self.costs.append(took)
+        return self._direct_first(self._next_relay(retry_after))
+
+    def _next_relay(self, retry_after: float) -> float:
+        """Wait before the next relay is asked."""
+        relays, count = self.relays, len(self.relays.order)
+        later = retry_after * self.rng.uniform(*LATER)
+        if not relays.known and later > 0:  # a whole list, in turn: the others have no less to do
+            return min(later, TOLD_S - QUEUE_S)
+        if not relays.all_failed():
+            return self.rng.random() * JITTER_S
+        # Each relay is asked again within the six seconds, as far as those that say nothing leave them.
+        pace = max(0.0, TOLD_S - RELAY_LINE_S - sum(self.costs)) / count * self.rng.uniform(*WAIT_BOUND)
+        alone = backoff(self.tries, self.rng)
+        self.tries = min(self.tries + 1, 10)
+        return max(RETRY_S[0], min(pace, max(alone, self.relay_lap, later / count)))
+
+    def _direct_failed(self, end: End) -> None:
+        if end is End.TURNED_AWAY or end is End.SILENT:
+            self.stretch = min(STRETCH_MOST, self.stretch * STRETCH)
+
+    def _direct_first(self, wait: float) -> float:
+        """The wait, or a shorter one after which the list service is asked."""
+        if not self.relays.all_failed() or self.relays.one_lives():
+            self.direct_at = None
+            return wait
+        now = self.now()
+        if self.direct_at is None:
+            self.direct_at = max(self.direct_free, now + self.rng.random() * self.lap)
+        if self.direct_at > now + wait:
+            return wait
+        wait = max(0.0, self.direct_at - now)
+        lap = max(RETRY_S[1], self.lap) * self.stretch
+        self.direct_at = self.direct_free = now + wait + lap * self.rng.uniform(*WAIT_SPREAD)
+        self.relays.direct = True
+        return wait
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -1,11 +1,12 @@
 """The list of upstreams: a watch on discovery that is made again whenever it ends or falls silent.
 
-When that is, and how long an answer may take, is for calls.py to say.
+When that is, and how long an answer may take, is for calls.py to say; where the call goes, for addresses.py.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 from collections import Counter
 from collections.abc import Callable
@@ -14,11 +15,12 @@
 import httptools
 
 from quartzford.engine import Clock, Handle, Log
+from quartzford.membership.addresses import Address, Addresses, Ask, Target
 from quartzford.membership.calls import KEPT_S, LINE_S, Calls, End, retry_after
 from quartzford.membership.listing import LONG_BYTES, Listing, Sink, read_listing
 
 READ_S = 4.25  # reading a long text beside the loop may take so long
-LINE_BYTES = 4 * 1024 * 1024
+LINE_BYTES = 16 * 1024 * 1024  # a list of 63,000 has 8.7
 
 
 BEGINS = re.compile(rb'\s*\{\s*(?:"|\Z)')  # an object that may yet become whole
@@ -34,22 +36,38 @@
 
 
 class Watch:
-    """Keeps one watch open, and knows which version of the list this balancer has."""
+    """Keeps one watch open, and knows which version of the list this balancer has.
+
+    resync: the version is forgotten with each watch that ends, so that the next call asks for everything.
+    """
 
     def __init__(
-        self, sink: Sink, address: Callable[[], tuple[str, int]], calls: Calls, clock: Clock, log: Log,
-        loop: asyncio.AbstractEventLoop,
+        self, sink: Sink, addresses: Addresses, calls: Calls, clock: Clock, log: Log,
+        loop: asyncio.AbstractEventLoop, *, resync: bool = False,
     ) -> None:  # fmt: skip
-        self.sink, self.address, self.clock, self.log, self.loop = sink, address, clock, log, loop
+        self.sink, self.addresses, self.clock, self.log, self.loop = sink, addresses, clock, log, loop
+        self.resync = resync
         self.calls = calls
         self.version: int | None = None
         self.heard = False  # discovery has answered since the start
         self.call: Call | None = None
         self.kept: Call | None = None  # an earlier one that was accepted and may still be answered
+        self.beside: Call | None = None  # at a better place, while the watch stands
         self.timer: Handle | None = None
+        self.back_timer: Handle | None = None
+        self.last_line_at = -math.inf  # a list, changes or an empty line, in seconds of the clock
         self.stopped = False
         self.counts: Counter[str] = Counter()  # calls made, and how each ended
 
+    @property
+    def address(self) -> Callable[[], Address]:
+        """The address of the configuration."""
+        return self.addresses.address
+
+    @address.setter
+    def address(self, address: Callable[[], Address]) -> None:
+        self.addresses.address = address
+
     def start(self) -> None:
         """The list is wanted from now on."""
         if not self.stopped and self.call is None and self.timer is None:
@@ -65,16 +83,39 @@
         self.timer = None
         if self.stopped or self.call is not None:
             return
-        self.counts["asked" if self.version is None else "watched"] += 1
-        self.call = Call(self, self.version)
+        # A version of 0 is that of a configuration that knows nobody.
+        known = bool(self.version) if self.addresses.whole_by_watch else self.version is not None
+        target = self.addresses.choose(known)
+        self.counts["asked" if target.ask is Ask.WHOLE else "watched"] += 1
+        self.call = Call(self, target)
+
+    def _try_better(self) -> None:
+        """Make before break: the watch stands on until the new one has answered."""
+        self.back_timer = None
+        if self.stopped or self.beside is not None or not self.current():
+            return
+        target = self.addresses.better()
+        if target is not None:
+            self.counts["tried better"] += 1
+            self.beside = Call(self, target)
+
+    def _plan_better(self) -> None:
+        if self.back_timer is not None:
+            self.back_timer.cancel()
+            self.back_timer = None
+        wait = self.calls.back()
+        if wait < math.inf and not self.stopped:
+            self.back_timer = self.clock.call_later(wait, self._try_better)
 
     def follow(self) -> None:
         """The address has changed: the new one is asked for the whole list, its versions may be its own."""
+        if not self.addresses.follows():
+            return
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
         self.version = None
-        calls, self.call, self.kept = (self.call, self.kept), None, None
+        calls, self.call, self.kept, self.beside = (self.call, self.kept, self.beside), None, None, None
         for call in calls:
             if call is not None:
                 call.close()
@@ -87,29 +128,47 @@
     def stop(self) -> None:
         """End all calls and make none from now on."""
         self.stopped = True
-        if self.timer is not None:
-            self.timer.cancel()
-        for call in (self.call, self.kept):
+        for timer in (self.timer, self.back_timer):
+            if timer is not None:
+                timer.cancel()
+        for call in (self.call, self.kept, self.beside):
             if call is not None:
                 call.close()
 
-    def line(self, text: bytes) -> bool:
+    def line(self, text: bytes, call: Call) -> bool:
         """Read one line of a watch; False where it is of no use and the call has to end."""
         try:
             listing = read_listing(text)
         except ValueError as error:
-            return self.bad(error)
-        return self.read(listing)
+            return self.bad(error, call)
+        return self.read(listing, call)
 
-    def bad(self, error: Exception) -> bool:
+    def bad(self, error: Exception, call: Call) -> bool:
         """Log a line that can't be read and forget the version, so that the next call asks for all."""
         self.log.line("discovery", f"a bad line: {error}")
-        self.version = None
+        if call is not self.beside:
+            self.version = None
         return False
 
-    def read(self, listing: Listing) -> bool:
+    def _outdated(self, listing: Listing, call: Call) -> bool:
+        """Older than what is held, and no sign that the service has begun again.
+
+        Beside a watch that stands, who is behind says nothing new; and a list that was asked for while a
+        version is held is one of a relay that has lost the service.
+        """
+        held = self.version is not None and listing.version < self.version
+        return held and (call is self.beside or not call.watch)
+
+    def read(self, listing: Listing, call: Call) -> bool:
         """A line that could be read; whether the watch may go on."""
-        if not listing.whole and (self.version is None or listing.version < self.version):
+        if self._outdated(listing, call):
+            return not call.watch
+        if call.everything and not call.told:
+            listing = everything(listing)
+        if listing.whole:
+            if self.beside is not None and call is not self.beside:
+                self.beside.close()  # it may be about to tell changes to another life's list
+        elif self.version is None or listing.version < self.version:
             self.version = None
             return False
         self.version = listing.version
@@ -119,14 +178,16 @@
 
     def answered(self, call: Call) -> None:
         """The list has come by this call; any other is of no use now."""
+        self.addresses.answered(call.target)
         self.calls.answered()
-        other = self.call if call is self.kept else self.kept
-        self.call, self.kept = call, None
+        others = [one for one in (self.call, self.kept, self.beside) if one is not None and one is not call]
+        self.call, self.kept, self.beside = call, None, None
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        if other is not None:
+        for other in others:
             other.close()
+        self._plan_better()
 
     def late(self, call: Call) -> bool:
         """A call has had its time without an answer; whether it stands on beside the next one."""
@@ -134,6 +195,7 @@
             return False
         self.call, self.kept = None, call
         self.counts["kept"] += 1
+        self.addresses.failed(call.target, End.SILENT)
         wait = self.calls.after(End.SILENT, self.clock.now() - call.since)
         self.timer = self.clock.call_later(wait, self._call)
         return True
@@ -142,29 +204,45 @@
         """A call is over: schedule the next. again: it ended in order."""
         if call is self.kept:
             self.kept = None
+        if call is self.beside:
+            self.beside = None
+            self._plan_better()
         if call is not self.call:
             return
         self.call = None
         self.counts["ended in order" if again else f"ended {call.why}"] += 1
         if not self.stopped:
             end = call.end if not again else End.UNREAD if call.watch else End.DONE
+            if end is not End.DONE:
+                self.addresses.failed(call.target, end)
+                if self.resync:
+                    self.version = None
             wait = self.calls.after(end, self.clock.now() - call.since, call.retry_after)
             self.timer = self.clock.call_later(wait, self._call)
 
 
+def everything(listing: Listing) -> Listing:
+    """The same rows as a whole list."""
+    rows = [row for row in zip(listing.entries, listing.addresses, strict=True) if row[0].state != "gone"]
+    return Listing(listing.version, True, tuple(row[0] for row in rows), tuple(row[1] for row in rows))
+
+
 class Call(asyncio.Protocol):
     """One GET of the whole list, or one watch."""
 
     transport: asyncio.Transport | None
 
-    def __init__(self, owner: Watch, version: int | None) -> None:
-        self.owner = owner
+    def __init__(self, owner: Watch, target: Target) -> None:
+        self.owner, self.target = owner, target
         self.clock, self.loop = owner.clock, owner.loop
-        self.watch = version is not None
-        self.version = version
+        self.watch = target.ask is Ask.WATCH
+        self.index = owner.version or 0
+        self.everything = self.watch and self.index == 0 and owner.addresses.whole_by_watch
+        self.patience = owner.calls.patience()
         self.transport = None
         self.buffer = bytearray()
         self.scanned = self.depth = 0  # of the buffer: lines of an object that is not whole yet
+        self.searched = 0  # of the buffer: no line ends before
         self.over = self.finished = False
         self.reading = False  # a long text is being read beside the loop
         self.lost = False
@@ -178,7 +256,7 @@
         self.task = self.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
-        host, port = self.owner.address()
+        host, port = self.target.address
         try:
             await self.loop.create_connection(lambda: self, host, port)
         except OSError:
@@ -218,9 +296,9 @@
         if self.over:
             return self.transport.abort()
         self.timer.cancel()
-        self.timer = self.clock.call_later(self.owner.calls.patience(), self._silent)
-        host, port = self.owner.address()
-        path = "/catalog/members" + (f"?stream=1&index={self.version}" if self.watch else "")
+        self.timer = self.clock.call_later(self.patience, self._silent)
+        host, port = self.target.address
+        path = "/catalog/members" + (f"?stream=1&index={self.index}" if self.watch else "")
         close = "" if self.watch else "Connection: close\r\n"
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n{close}\r\n".encode())
 
@@ -254,7 +332,7 @@
         if self.watch or not self.buffer.strip():
             return self.close()
         if not self._aside(bytes(self.buffer), lambda kept: self._end(again=kept)):
-            self._end(again=self._heard(self.owner.line(bytes(self.buffer))))
+            self._end(again=self._heard(self.owner.line(bytes(self.buffer), self)))
 
     def _heard(self, kept: bool) -> bool:
         """A part of the list has come, and could be read or not."""
@@ -268,7 +346,7 @@
     def _alive(self) -> None:
         """Only what is whole shows that the watch stands: bytes may drip in for ever and tell nothing."""
         if self.told and not self.over:
-            self.since = self.clock.now()
+            self.since = self.owner.last_line_at = self.clock.now()
             self.timer.cancel()
             self.timer = self.clock.call_later(LINE_S, self._silent)
 
@@ -287,9 +365,9 @@
             if self.over:
                 return
             try:
-                kept = self._heard(self.owner.read(future.result()))
+                kept = self._heard(self.owner.read(future.result(), self))
             except ValueError as error:
-                kept = self.owner.bad(error)
+                kept = self.owner.bad(error, self)
             if self.transport is not None and not self.transport.is_closing():
                 self.transport.resume_reading()
             done(kept)
@@ -320,7 +398,8 @@
             return
         self.buffer += data
         if len(self.buffer) > LINE_BYTES:
-            self.owner.version = None
+            if self is not self.owner.beside:
+                self.owner.version = None
             return self.close()
         if self.watch:
             self._lines(True)
@@ -329,18 +408,20 @@
         """Whole lines that have come, in order: one that is read beside the loop holds up the next ones."""
         if not kept:
             return self._end(again=True)
-        while not self.over and not self.reading and (end := self.buffer.find(b"\n", self.scanned)) >= 0:
+        while not self.over and not self.reading and (end := self.buffer.find(b"\n", self.searched)) >= 0:
             self.depth += opened(bytes(self.buffer[self.scanned : end]))
-            self.scanned = end + 1
+            self.scanned = self.searched = end + 1
             if self.depth > 0 and BEGINS.match(self.buffer):  # over several lines: the next ones belong to it
                 continue
             text = bytes(self.buffer[: end + 1]).strip()
             del self.buffer[: end + 1]
-            self.scanned = self.depth = 0
+            self.scanned = self.searched = self.depth = 0
             if not text:
                 self._alive()
-            elif not self._aside(text, self._lines) and not self._heard(self.owner.line(text)):
+            elif not self._aside(text, self._lines) and not self._heard(self.owner.line(text, self)):
                 self._end(again=True)
+        if not self.reading:
+            self.searched = len(self.buffer)
 
     def on_message_complete(self) -> None:
         """The answer is complete."""
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -8,7 +8,7 @@
 import random
 import socket
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
 
@@ -17,6 +17,7 @@
 from quartzford.engine import Budget, Engine, LoopClock, StderrLog
 from quartzford.fronts.http1 import HttpFront
 from quartzford.fronts.operations import OperationsFront
+from quartzford.membership.addresses import Address, Addresses, Relays, Single
 from quartzford.membership.calls import Agent, Calls, Shared, draws
 from quartzford.membership.listing import Listing, read_listing
 from quartzford.membership.pieces import Queue
@@ -60,11 +61,12 @@
 
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, subset: Subset | None = None, folder: str = "",
-        lists_per_s: float = LISTS_PER_S,
+        lists_per_s: float = LISTS_PER_S, relays: Sequence[Address] = (),
     ) -> None:  # fmt: skip
         """folder: where this process and its successor find each other; "": they don't.
 
         lists_per_s: calls a second that a list service answers which a whole fleet asks.
+        relays: are asked in its place.
         """
         self.loop, self.subset = loop, subset
         self.clock = clock = LoopClock(loop)
@@ -90,8 +92,8 @@
         self._configure(config)
         self.asked = config.settings.asks_list  # one service for the whole fleet; else an agent's pushes
         self.lists_per_s = lists_per_s
-        calls = self._calls(config)
-        self.watch = Watch(self, lambda: self.config.discovery, calls, clock, self.log, loop)
+        calls, addresses = self._calls(config, relays)
+        self.watch = Watch(self, addresses, calls, clock, self.log, loop)
         self.engine.watch = self.watch.start
         self.draining_since = math.inf
         self.finished = loop.create_future()
@@ -119,13 +121,20 @@
         self.front.most = clients
         self.pool.configure(upstream, config.idle_ms, config.connect_ms, config.report_names)
 
-    def _calls(self, config: Config) -> Calls:
+    def _calls(self, config: Config, relays: Sequence[Address]) -> tuple[Calls, Addresses]:
+        one = Single(lambda: self.config.discovery)
         if not self.asked:
-            return Agent(random.Random(config.seed ^ 1), config.settings.rules.drain_grace_ms / 1000.0)
+            return Agent(random.Random(config.seed ^ 1), config.settings.rules.drain_grace_ms / 1000.0), one
         host, port = config.listen
         own = draws(config.name, f"{host}:{port}", config.seed)
         most_wait = config.settings.rules.ask_every_ms / 1000.0
-        return Shared(config.settings.balancers, self.lists_per_s, most_wait, own, self.clock.now)
+        balancers, now = config.settings.balancers, self.clock.now
+        if not relays:
+            return Shared(balancers, self.lists_per_s, most_wait, own, now), one
+        from quartzford.membership.relaycalls import RelayCalls  # only here: the platform's run has none
+
+        several = Relays(config.name, relays, one.address)
+        return RelayCalls(several, balancers, self.lists_per_s, most_wait, own, now), several
 
     def reconfigure(self, config: Config) -> None:
         """A new configuration, under load: what is in flight goes on, the list held stays until the next one.
--- a/quartzford/serve.py
+++ b/quartzford/serve.py
@@ -16,6 +16,7 @@
     ListsSettings,
     OperatorError,
     OperatorSettings,
+    endpoint,
     load_operator,
     takes_restart,
 )
@@ -30,6 +31,14 @@
     return str(Path(path).parent / operator.config) if operator.config else ""
 
 
+def check_together(operator: OperatorSettings, config: Config) -> None:
+    """OperatorError where the operator's file asks for what the configuration rules out."""
+    if operator.lists is not None and operator.lists.relays and not config.settings.asks_list:
+        raise OperatorError(
+            'lists.relays: relays are for registryMode "subscribe"; the configuration\'s lists are pushed'
+        )
+
+
 class Service:
     """A node with the operator's parts, their reload and their end."""
 
@@ -37,10 +46,14 @@
         self.path = path
         self.operator = load_operator(path)
         config = load_config(config_path(self.operator, path))
+        check_together(self.operator, config)
         chosen = self.operator.subset
         subset = Subset(config.name, chosen.size, chosen.per_zone) if chosen is not None else None
         lists = self.operator.lists
-        self.node = Node(config, loop, subset, lists_per_s=lists.calls_per_s if lists else LISTS_PER_S)
+        self.node = Node(
+            config, loop, subset, lists_per_s=lists.calls_per_s if lists else LISTS_PER_S,
+            relays=[endpoint(text) for text in lists.relays] if lists else (),
+        )  # fmt: skip
         if lists is not None and lists.snapshot:
             self._keep(str(Path(path).parent / lists.snapshot), lists)
         self.recorder = self._recorder(path)
@@ -96,6 +109,7 @@
         try:
             operator = load_operator(self.path)
             config = load_config(config_path(operator, self.path))
+            check_together(operator, config)
             key = takes_restart(self.operator, operator)
             if key:
                 raise OperatorError(f"{key}: a change takes a restart")
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -72,8 +72,8 @@
             "decision/admission.py", "decision/memory.py", "decision/estimates.py", "engine/figures.py",
             "replacement/phases.py", "replacement/state.py", "backends/caller.py",
             "protocols/http2.py", "protocols/onecall.py", "membership/registry.py",
-            "membership/calls.py", "membership/snapshot.py", "load/shapes.py", "load/clients.py",
-            "load/trace.py", "load/record.py",
+            "membership/calls.py", "membership/addresses.py", "membership/relaycalls.py",
+            "membership/snapshot.py", "load/shapes.py", "load/clients.py", "load/trace.py", "load/record.py",
             *(f"fronts/extproc/{n}.py" for n in ("desk", "intake", "outcome", "token")))  # fmt: skip
     for name in pure:
         tops = {n.split(".")[0] for n in imports(PACKAGE / name)}
@@ -91,9 +91,11 @@
         [sys.executable, "-c", eager], cwd=PACKAGE.parent, capture_output=True, check=True
     )
     extras = {"numpy", "msgspec", "email", "quartzford.membership.snapshot_writer",
-              "quartzford.membership.snapshot", "quartzford.counting", "quartzford.serve",
-              "quartzford.replacement.succession"}  # fmt: skip
-    assert not extras & set(loaded.stdout.decode().split())
+              "quartzford.membership.snapshot", "quartzford.membership.relaycalls", "quartzford.counting",
+              "quartzford.serve", "quartzford.replacement.succession"}  # fmt: skip
+    names = set(loaded.stdout.decode().split())
+    assert not extras & names
+    assert not any(name.startswith("quartzford.relay") for name in names)
 
 
 def test_fronts_and_backends_do_not_know_each_other() -> None:
