--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -76,6 +76,9 @@
     def patience(self) -> float:
         """How long the first whole list, or change, may take, from the connection on."""
 
+    def flowing(self) -> float:
+        """How much longer the first line may take once a good part of it has come."""
+
     def answered(self) -> None:
         """The list, or its changes, came."""
 
@@ -127,6 +130,9 @@
         """How long the first line may take, in seconds."""
         return ANSWER_S
 
+    def flowing(self) -> float:
+        return 0.0
+
     def answered(self) -> None:
         """Begin the backoff anew."""
         self.tries = 0
@@ -194,6 +200,9 @@
         """How long the first line may take, in seconds: the service may have a queue."""
         return QUEUE_S
 
+    def flowing(self) -> float:
+        return 0.0
+
     def answered(self) -> None:
         """Begin backoff and spread anew."""
         self.tries, self.stretch = 0, 1.0
--- a/quartzford/membership/relaycalls.py
+++ b/quartzford/membership/relaycalls.py
@@ -49,6 +49,7 @@
 
 RELAY_CONNECT_S = 0.6  # nobody at a relay took the connection for so long
 RELAY_LINE_S = 1.0  # a relay's first line by index, from the connection on
+FLOW_S = 1.0  # more, where a long list is under way: another relay would only tell it once more
 JITTER_S = 0.2  # at most, from a failed call to the next relay's
 LOST_SPREAD_S = 0.5  # all watches of a relay end in one moment: its balancers' next calls
 RETURN_S = (30.0, 90.0)  # from the moment a watch stands to the next try of a better place
@@ -86,6 +87,9 @@
     def patience(self) -> float:
         return RELAY_LINE_S if self.relays.known and not self.relays.asked_direct else QUEUE_S
 
+    def flowing(self) -> float:
+        return 0.0 if self.relays.asked_direct else FLOW_S
+
     def answered(self) -> None:
         super().answered()
         self.costs.clear()
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -21,7 +21,7 @@
 
 READ_S = 4.25  # reading a long text beside the loop may take so long
 LINE_BYTES = 16 * 1024 * 1024  # a list of 63,000 has 8.7
-
+FLOW_BYTES = 64 * 1024  # of a first line that is under way
 
 BEGINS = re.compile(rb'\s*\{\s*(?:"|\Z)')  # an object that may yet become whole
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
@@ -238,7 +238,7 @@
         self.watch = target.ask is Ask.WATCH
         self.index = owner.version or 0
         self.everything = self.watch and self.index == 0 and owner.addresses.whole_by_watch
-        self.patience = owner.calls.patience()
+        self.patience, self.flowing = owner.calls.patience(), owner.calls.flowing()
         self.transport = None
         self.buffer = bytearray()
         self.scanned = self.depth = 0  # of the buffer: lines of an object that is not whole yet
@@ -271,6 +271,10 @@
         self.close()
 
     def _silent(self) -> None:
+        if not self.told and self.flowing > 0.0 and len(self.buffer) >= FLOW_BYTES:
+            more, self.flowing = self.flowing, 0.0  # once
+            self.timer = self.clock.call_later(more, self._silent)
+            return
         if not self.told and self.owner.late(self):
             self.timer = self.clock.call_later(KEPT_S, self.close)
             return
