--- a/quartzford/membership/addresses.py
+++ b/quartzford/membership/addresses.py
@@ -61,18 +61,21 @@
         self.address, self.whole_by_watch = address, whole_by_watch
 
     def choose(self, known: bool) -> Target:
+        """The one address: the whole list where no version is held, else a watch."""
         return Target(self.address(), Ask.WATCH if known or self.whole_by_watch else Ask.WHOLE)
 
     def failed(self, target: Target, end: End) -> None:
-        pass
+        """Nothing follows: there is no other."""
 
     def answered(self, target: Target) -> None:
-        pass
+        """Nothing follows: there is no other."""
 
     def better(self) -> Target | None:
+        """None: there is no other."""
         return None
 
     def follows(self) -> bool:
+        """True: it is the configuration's, or fixed."""
         return True
 
 
@@ -109,6 +112,7 @@
         self._ends: dict[Address, End] = {}  # of each relay's last call since one has answered
 
     def choose(self, known: bool) -> Target:
+        """The next relay in the order, or the list service where `direct` says so."""
         self.known, self.asked_direct, self.direct = known, self.direct, False
         if self.asked_direct:
             self.asked = Target(self.address(), Ask.WATCH)
@@ -119,6 +123,7 @@
         return self.asked
 
     def failed(self, target: Target, end: End) -> None:
+        """The next call goes to the relay behind the one that failed."""
         self.place = None
         self.failed_direct = target.address not in self.order
         if not self.failed_direct:
@@ -127,6 +132,7 @@
                 self._ends[target.address] = end
 
     def answered(self, target: Target) -> None:
+        """A watch stands at the target; what relays did before counts no more."""
         self.heard = True
         if target.ask is Ask.WHOLE:
             return  # of a relay that has lost the list service, perhaps
@@ -137,6 +143,7 @@
         self._next = 0 if direct else self.place
 
     def better(self) -> Target | None:
+        """One of the relays before the place where the watch stands, in turn."""
         if not self.place:
             return None
         relay = self.order[self._tried % self.place]
@@ -145,6 +152,7 @@
         return self.asked
 
     def follows(self) -> bool:
+        """True at the list service: a relay's address is not the configuration's."""
         return self.asked_direct or self.place == len(self.order)
 
     def all_failed(self) -> bool:
--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -131,6 +131,7 @@
         return ANSWER_S
 
     def flowing(self) -> float:
+        """No longer: an agent answers at once."""
         return 0.0
 
     def answered(self) -> None:
@@ -138,6 +139,7 @@
         self.tries = 0
 
     def back(self) -> float:
+        """Never: there is one address."""
         return math.inf
 
 
@@ -201,6 +203,7 @@
         return QUEUE_S
 
     def flowing(self) -> float:
+        """No longer: to the service all calls are alike."""
         return 0.0
 
     def answered(self) -> None:
@@ -208,6 +211,7 @@
         self.tries, self.stretch = 0, 1.0
 
     def back(self) -> float:
+        """Never: there is one address."""
         return math.inf
 
 
--- a/quartzford/membership/relaycalls.py
+++ b/quartzford/membership/relaycalls.py
@@ -74,31 +74,39 @@
         super().__init__(balancers, per_s, most_wait, rng, now)
 
     def configure(self, balancers: int, per_s: float, most_wait: float) -> None:
+        """New settings; what was learnt of relays and service stays."""
         super().configure(balancers, per_s, most_wait)
         self.relay_lap = max(0.0, balancers / len(self.relays.order) - SMALL) / RELAY_CALLS_PER_S
 
     def first(self) -> float:
+        """A wait drawn from the time in which a relay can answer all of its balancers."""
         self.tries = 0
         return self.rng.random() * min(self.relay_lap, TOLD_S - QUEUE_S)
 
     def connect(self) -> float:
+        """As long as the place that was chosen last may take."""
         return CONNECT_S if self.relays.asked_direct else RELAY_CONNECT_S
 
     def patience(self) -> float:
+        """As long as the place that was chosen last may take; longer for a whole list."""
         return RELAY_LINE_S if self.relays.known and not self.relays.asked_direct else QUEUE_S
 
     def flowing(self) -> float:
+        """From a relay, as long again as its patience by index."""
         return 0.0 if self.relays.asked_direct else FLOW_S
 
     def answered(self) -> None:
+        """Forget what failed before."""
         super().answered()
         self.costs.clear()
         self.direct_at = None
 
     def back(self) -> float:
+        """A wait drawn from RETURN_S."""
         return self.rng.uniform(*RETURN_S)
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
+        """The wait before the next relay's turn, or the source's: see the module."""
         if end is End.DONE:
             return 0.0
         if end is End.LOST:
