relay: the catalog of rows, what a watcher is owed, and turns for whole lists

Need: one list service can't tell thousands of balancers itself; a relay has to know what each of its watchers is owed without a queue for any of them. Change: rows by name in the order of the version they last changed in, gone rows and held versions bounded in number, lives of the source, one encoding shared by all at a version; whole lists under a bound of bytes a second.

--- /dev/null
+++ b/quartzford/relay/catalog.py
@@ -0,0 +1,252 @@
+"""The list that a relay holds, and what a watcher at some version of it is owed. No I/O.
+
+Rows are kept by name, in the order of the version in which each last changed; so the changes after a version
+are the rows behind it, each once, however often it changed. Rows that went are kept as gone rows, bounded in
+number.
+
+A version names the same rows only within one life of the source. Where a version falls, or is repeated with
+other rows, the source has begun again: a new life, and whoever holds a list of an earlier one is owed the
+whole. Within a life an index is trusted if this relay held that version itself: then it is known which rows
+its holder has.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from enum import Enum
+from json.encoder import encode_basestring_ascii as quoted
+from typing import NamedTuple
+from weakref import WeakSet
+
+from quartzford.decision import interface as io
+from quartzford.membership.listing import Listing
+
+MOST_GONE = 20_000  # gone rows that are kept
+MOST_VERSIONS = 65_536  # versions that are remembered as held
+MOST_WHOLES = 8  # encodings of the whole list that are in use at a time
+FEW_ROWS = 1_000  # so many changed rows are always told as changes
+EXACT = 2**53  # whole numbers below this are written as such
+
+Address = tuple[str, int]
+
+
+class Position(NamedTuple):
+    """What a watcher holds: a version, and the life of the source that it belongs to."""
+
+    life: int
+    version: int
+
+
+class Debt(Enum):
+    """What a watcher is owed."""
+
+    NOTHING = "nothing"
+    CHANGES = "changes"
+    WHOLE = "whole"  # its version is too old, of another life, or was never held here
+    AHEAD = "ahead"  # its version is above the one held: this relay is behind, or the source has begun again
+
+
+class Owed(NamedTuple):
+    """A debt; line: the changes, one line of discovery, where that is the debt."""
+
+    debt: Debt
+    line: bytes = b""
+
+
+class Row(NamedTuple):
+    """One row of the list. version: it last changed in; text: its JSON."""
+
+    version: int
+    entry: io.Entry
+    address: Address
+    text: bytes
+
+
+class Whole:
+    """The whole list at one position as a line of discovery, shared by all who are being told it."""
+
+    __slots__ = ("__weakref__", "line", "position")
+
+    def __init__(self, position: Position, line: bytes) -> None:
+        self.position, self.line = position, line
+
+
+def row_text(entry: io.Entry, address: Address) -> bytes:
+    """A row's JSON in discovery's form."""
+    host, port = address
+    dial = "" if not host else f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    born = entry.started_ms
+    when = str(int(born)) if born < EXACT and born.is_integer() else repr(born)
+    return (
+        f'{{"host":{quoted(entry.server)},"dial":{quoted(dial)},"site":{quoted(entry.zone)},'
+        f'"class":{quoted(entry.kind)},"block":{entry.cell},"health":"{entry.state}",'
+        f'"share":{entry.units!r},"born_ms":{when}}}'
+    ).encode("ascii")
+
+
+def _line(version: int, whole: bool, rows: list[bytes]) -> bytes:
+    head = b'{"seq":%d,"whole":%b,"hosts":[' % (version, b"true" if whole else b"false")
+    return b"".join((head, b",".join(rows), b"]}\n"))
+
+
+class Catalog:
+    """The rows by name, the versions that were held, and the encodings that are shared.
+
+    most_gone, most_versions, most_wholes: bounds; past the first two older versions are owed the whole list,
+    past the third a whole list is told that is a few versions old, and the changes behind it.
+    """
+
+    def __init__(
+        self, most_gone: int = MOST_GONE, most_versions: int = MOST_VERSIONS, most_wholes: int = MOST_WHOLES
+    ) -> None:
+        self.most_gone, self.most_versions, self.most_wholes = most_gone, most_versions, most_wholes
+        self.version: int | None = None
+        self.life = 0
+        self.floor = 0  # changes are known after this version
+        self.distrusted = -1  # an index up to this may be of an earlier life
+        self.rows: OrderedDict[str, Row] = OrderedDict()
+        self.gone: OrderedDict[str, Row] = OrderedDict()
+        self._held: set[int] = set()  # versions of this life that this relay held
+        self._order: deque[int] = deque()
+        self._changes: dict[int, Owed] = {}  # by the version after which; of the version held alone
+        self._whole: Whole | None = None
+        self._wholes: WeakSet[Whole] = WeakSet()
+
+    def position(self) -> Position:
+        """Of the list held; ValueError while there is none."""
+        if self.version is None:
+            raise ValueError("no list is held")
+        return Position(self.life, self.version)
+
+    # ---- the source's lines
+
+    def apply(self, listing: Listing) -> bool:
+        """Take a line of the source; whether anything is told to watchers because of it.
+
+        Changes that belong to no list held here are refused: nothing changes.
+        """
+        rows = self._changed(listing)
+        if self.version is None or listing.version < self.version:
+            if not listing.whole:
+                return False
+            self._begin_life(listing.version)
+        elif listing.version == self.version:
+            if not rows:
+                return False
+            self._begin_life(listing.version)
+        self.version = listing.version
+        self._remember(listing.version)
+        for entry, address in rows.values():
+            self._put(entry, address, listing.version)
+        self._forget_gone()
+        self._changes.clear()
+        return True
+
+    def _changed(self, listing: Listing) -> dict[str, tuple[io.Entry, Address]]:
+        """The rows of a line that are not as they are held; of a whole list also those that it leaves out."""
+        told = {row[0].server: row for row in zip(listing.entries, listing.addresses, strict=True)}
+        if listing.whole:
+            told = {name: row for name, row in told.items() if row[0].state != "gone"}
+            for name, row in self.rows.items():
+                if name not in told:
+                    told[name] = row.entry._replace(state="gone"), row.address
+        changed = {}
+        for name, (entry, address) in told.items():
+            held = self.rows.get(name)
+            if entry.state == "gone":
+                if held is not None:  # whoever held a version that was held here has no other row to lose
+                    changed[name] = entry, address if address[0] else held.address
+            elif held is None or held.entry != entry or held.address != address:
+                changed[name] = entry, address
+        return changed
+
+    def _begin_life(self, version: int) -> None:
+        """The source has begun again, or is heard for the first time."""
+        if self.version is not None:
+            self.distrusted = max(self.distrusted, self.version)
+        self.life += 1
+        self.floor = version
+        self.gone.clear()
+        self._held.clear()
+        self._order.clear()
+        for name, row in self.rows.items():
+            self.rows[name] = row._replace(version=version)
+
+    def _remember(self, version: int) -> None:
+        if version not in self._held:
+            self._held.add(version)
+            self._order.append(version)
+        while len(self._order) > self.most_versions:
+            self._held.discard(self._order.popleft())
+            self.floor = max(self.floor, self._order[0])
+
+    def _put(self, entry: io.Entry, address: Address, version: int) -> None:
+        row = Row(version, entry, address, row_text(entry, address))
+        kept, other = (self.gone, self.rows) if entry.state == "gone" else (self.rows, self.gone)
+        other.pop(entry.server, None)
+        kept[entry.server] = row
+        kept.move_to_end(entry.server)
+
+    def _forget_gone(self) -> None:
+        while len(self.gone) > self.most_gone:
+            self.floor = max(self.floor, self.gone.popitem(last=False)[1].version)
+
+    # ---- what is owed
+
+    def owed(self, position: Position | None, index: int = 0) -> Owed:
+        """What a watcher is owed, by its position, or where it comes from elsewhere by its index.
+
+        While no list is held everybody is ahead.
+        """
+        if self.version is None:
+            return Owed(Debt.AHEAD)
+        if position is None:
+            if index <= self.distrusted or index <= 0:
+                return Owed(Debt.WHOLE)
+            if index > self.version:
+                return Owed(Debt.AHEAD)
+            # Between two versions held here a row may have come and gone: only the source, or one that
+            # held the version, can name it.
+            if index not in self._held:
+                return Owed(Debt.WHOLE)
+            position = Position(self.life, index)
+        if position.life != self.life or position.version < self.floor:
+            return Owed(Debt.WHOLE)
+        return Owed(Debt.NOTHING) if position.version == self.version else self._after(position.version)
+
+    def _after(self, version: int) -> Owed:
+        owed = self._changes.get(version)
+        if owed is None:
+            rows = self._since(self.rows, version) + self._since(self.gone, version)
+            if len(rows) > FEW_ROWS and 2 * len(rows) > len(self.rows):
+                owed = Owed(Debt.WHOLE)  # as long, and not under the bound of whole lists
+            else:
+                owed = Owed(Debt.CHANGES, _line(self.position().version, False, rows))
+            self._changes[version] = owed
+        return owed
+
+    @staticmethod
+    def _since(rows: OrderedDict[str, Row], version: int) -> list[bytes]:
+        texts = []
+        for row in reversed(rows.values()):
+            if row.version <= version:
+                break
+            texts.append(row.text)
+        return texts[::-1]
+
+    def nothing(self) -> bytes:
+        """The line that says that there are no changes; a watch by the version held begins with it."""
+        return _line(self.position().version, False, [])
+
+    def whole(self) -> Whole:
+        """The whole list; while too many older encodings are in use, the last one that changes can follow."""
+        position, last = self.position(), self._whole
+        if last is not None and last.position.life == position.life:
+            if last.position == position:
+                return last
+            if len(self._wholes) >= self.most_wholes and last.position.version >= self.floor:
+                return last
+        line = _line(position.version, True, [row.text for row in self.rows.values()])
+        self._whole = Whole(position, line)
+        self._wholes.add(self._whole)
+        return self._whole
--- /dev/null
+++ b/quartzford/relay/turns.py
@@ -0,0 +1,43 @@
+"""In which order whole lists are let out, at no more than so many bytes a second. No I/O.
+
+Each list takes the rate for as long as its bytes last at it, and begins when those before it have had theirs.
+So few are under way at a time, and one whose watcher reads slowly keeps nobody else waiting. Who would wait
+for longer than MOST_WAIT_S is told when to come again, each later than the one before. Times are in seconds.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+MOST_WAIT_S = 1.5  # within the time that a call's first line may take
+MOST_RETRY_S = 30.0
+
+
+class Turn(NamedTuple):
+    """granted: the list may be written after `wait`; else the caller should come again after it."""
+
+    granted: bool
+    wait: float
+
+
+class Turns:
+    """The time that whole lists have been given so far."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.free_at = 0.0  # all that have a turn have had it
+        self.promised_at = 0.0  # to the last one that was turned away
+
+    def ask(self, now: float, size: int) -> Turn:
+        """A turn for a list of so many bytes."""
+        begin, lasts = max(now, self.free_at), size / self.bytes_per_s
+        if begin - now <= MOST_WAIT_S:
+            self.free_at = begin + lasts
+            return Turn(True, begin - now)
+        promised = max(begin, self.promised_at)
+        self.promised_at = min(promised + lasts, now + MOST_RETRY_S)
+        return Turn(False, min(promised - now, MOST_RETRY_S))
+
+    def give_back(self, size: int) -> None:
+        """A turn that was granted is not wanted any more."""
+        self.free_at -= size / self.bytes_per_s
--- /dev/null
+++ b/tests/test_relay_catalog.py
@@ -0,0 +1,278 @@
+"""What a watcher at some version is owed, whole lists in their turn: the relay's core without I/O."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import pytest
+
+from quartzford.membership.listing import Listing, read_listing
+from quartzford.relay.catalog import MOST_WHOLES, Catalog, Debt, Position
+from quartzford.relay.turns import MOST_RETRY_S, Turns
+
+Table = dict[str, dict[str, Any]]
+
+
+def row(name: str, **changes: Any) -> dict[str, Any]:
+    return {
+        "host": name, "dial": "10.1.0.18:8080", "site": "a", "class": "m2", "block": 3, "health": "ready",
+        "share": 1.0, "born_ms": 0,
+    } | changes  # fmt: skip
+
+
+def line(version: int, *rows: dict[str, Any], whole: bool = False) -> Listing:
+    return read_listing({"seq": version, "whole": whole, "hosts": list(rows)})
+
+
+def held(*lines: Listing) -> Catalog:
+    catalog = Catalog()
+    for listing in lines:
+        catalog.apply(listing)
+    return catalog
+
+
+def owed(catalog: Catalog, position: Position | None, index: int = 0) -> Any:
+    """The debt, or the changes' rows."""
+    debt, text = catalog.owed(position, index)
+    return json.loads(text)["hosts"] if debt is Debt.CHANGES else debt
+
+
+def names(rows: Any) -> list[str]:
+    return [f"{r['host']} {r['health']}" for r in rows]
+
+
+ROWS = [
+    row("plain"),
+    row("six", dial="[2001:db8::7]:80", site="b", block=-1),
+    row("named", dial="nodo-7.example:65535", health="draining"),
+    row("times", share=0.1, born_ms=1790000000123),
+    row("parts", share=2.5e-7, born_ms=1790000000123.25, block=2**40),
+    row('odd "\\ é \n', site="{,}", **{"class": "\ud800x"}),
+]
+
+
+def test_rows_come_out_as_they_came_in() -> None:
+    catalog = held(line(3, *ROWS, whole=True))
+    told = json.loads(catalog.whole().line)
+    assert told == {"seq": 3, "whole": True, "hosts": ROWS}
+    assert catalog.whole().line.count(b"\n") == 1 and catalog.whole() is catalog.whole()
+    catalog.apply(line(4, *ROWS[::-1]))
+    assert json.loads(catalog.nothing()) == {"seq": 4, "whole": False, "hosts": []}
+    catalog.apply(line(5, *[r | {"block": 9} for r in ROWS]))
+    assert owed(catalog, None, 3) == [r | {"block": 9} for r in ROWS]
+
+
+def test_what_goes_keeps_its_row_and_what_changes_twice_is_told_once() -> None:
+    catalog = held(line(1, row("a"), row("b"), row("c"), whole=True))
+    for version in (2, 3):
+        catalog.apply(line(version, row("a", born_ms=version)))
+    gone = row("b", health="gone")
+    del gone["dial"]
+    catalog.apply(line(4, gone))
+    assert owed(catalog, None, 1) == [row("a", born_ms=3), row("b", health="gone")]
+    assert owed(catalog, Position(1, 3)) == [row("b", health="gone")]
+    first = catalog.owed(None, 1)
+    assert catalog.owed(Position(1, 1)).line is first.line  # one encoding for all at a version
+    catalog.apply(line(5, row("b", born_ms=5)))
+    assert owed(catalog, None, 1) == [row("a", born_ms=3), row("b", born_ms=5)]
+    assert owed(catalog, None, 5) is Debt.NOTHING
+    assert not catalog.apply(line(5, row("b", born_ms=5))) and not catalog.apply(line(4, row("b")))
+    assert catalog.apply(line(6)) and owed(catalog, None, 5) == []
+
+
+def test_who_is_ahead_too_old_or_holds_what_was_never_held_here() -> None:
+    catalog = Catalog()
+    assert owed(catalog, None, 7) is Debt.AHEAD and not catalog.apply(line(3, row("a")))
+    with pytest.raises(ValueError, match="no list"):
+        catalog.whole()
+    for version in (7, 9, 10):
+        catalog.apply(line(version, row("a", block=version), whole=version == 7))
+    assert [catalog.owed(None, n).debt for n in (0, 6, 8)] == [Debt.WHOLE] * 3
+    assert [catalog.owed(None, n).debt for n in (7, 9, 10, 11)] == [
+        Debt.CHANGES, Debt.CHANGES, Debt.NOTHING, Debt.AHEAD,
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize("version", [4, 9])
+def test_a_source_that_begins_again_owes_the_whole_to_all(version: int) -> None:
+    """Lower, or the same version with other rows: who watched throughout, and who comes by an old index."""
+    catalog = held(line(8, row("a"), row("b"), whole=True), line(9, row("a", block=4)))
+    before = catalog.position()
+    assert not catalog.apply(line(9, row("b"), row("a", block=4), whole=True))
+    assert catalog.apply(line(version, row("a", block=5), whole=True))
+    assert catalog.position() == (before.life + 1, version)
+    assert owed(catalog, before) is Debt.WHOLE and owed(catalog, Position(before.life, version)) is Debt.WHOLE
+    assert [catalog.owed(None, n).debt for n in range(1, 11)] == [Debt.WHOLE] * 9 + [Debt.AHEAD]
+    here = catalog.position()
+    catalog.apply(line(12, row("c")))
+    assert names(owed(catalog, here)) == ["c ready"] and owed(catalog, None, 12) is Debt.NOTHING
+    assert catalog.apply(line(12, row("c", block=8))) and catalog.position().life == before.life + 2
+
+
+def test_bounds_on_gone_rows_and_versions_raise_the_floor() -> None:
+    catalog = Catalog(most_gone=3, most_versions=6)
+    catalog.apply(line(1, *(row(f"s{n}") for n in range(9)), whole=True))
+    for n in range(5):
+        catalog.apply(line(n + 2, row(f"s{n}", health="gone")))
+    assert len(catalog.gone) == 3 and catalog.floor == 3
+    assert owed(catalog, Position(1, 2)) is Debt.WHOLE and owed(catalog, None, 2) is Debt.WHOLE
+    assert names(owed(catalog, None, 3)) == ["s2 gone", "s3 gone", "s4 gone"]
+    for version in range(7, 11):
+        catalog.apply(line(version))
+    assert catalog.floor == 5 and owed(catalog, Position(1, 4)) is Debt.WHOLE
+    assert names(owed(catalog, None, 5)) == ["s4 gone"]
+
+
+def test_changes_of_most_of_a_long_list_are_told_as_the_whole() -> None:
+    rows = [row(f"s{n}") for n in range(1_500)]
+    catalog = held(line(1, *rows, whole=True))
+    catalog.apply(line(2, *(r | {"block": 4} for r in rows[:1_000])))
+    assert len(owed(catalog, None, 1)) == 1_000
+    catalog.apply(line(3, rows[-1] | {"block": 4}))
+    assert owed(catalog, None, 1) is Debt.WHOLE and len(owed(catalog, None, 2)) == 1
+
+
+def test_encodings_of_the_whole_that_are_in_use_are_bounded() -> None:
+    catalog = held(line(1, row("a"), whole=True))
+    taken = [catalog.whole()]
+    for version in range(2, 20):
+        catalog.apply(line(version, row("a", block=version)))
+        taken.append(catalog.whole())
+    assert len({id(whole) for whole in taken}) == MOST_WHOLES
+    assert names(owed(catalog, taken[-1].position)) == ["a ready"]  # it is followed by the changes behind it
+    del taken
+    assert catalog.whole().position.version == 19
+
+
+class Model:
+    """A source, as plainly as can be: every version's rows are kept."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng, self.version, self.table = rng, 1, {f"s{n}": row(f"s{n}") for n in range(6)}
+        self.past: dict[int, Table] = {1: dict(self.table)}
+
+    def step(self) -> None:
+        self.version += self.rng.choice((1, 1, 1, 2))
+        for _ in range(self.rng.randrange(3)):
+            name = f"s{self.rng.randrange(10)}"
+            if name in self.table and self.rng.random() < 0.4:
+                del self.table[name]
+            else:
+                self.table[name] = row(name, block=self.rng.randrange(4))
+        self.past[self.version] = dict(self.table)
+
+    def again(self) -> None:
+        """It begins again: lower versions, or the same one, and other rows."""
+        version = self.rng.choice((self.version, max(1, self.version - self.rng.randrange(9))))
+        self.version, self.past = version, {}
+        self.table = {f"s{n}": row(f"s{n}", block=self.rng.randrange(50)) for n in range(6)}
+        self.past[version] = dict(self.table)
+
+    def line(self, since: int | None) -> Listing:
+        if since is None or since not in self.past:
+            return line(self.version, *self.table.values(), whole=True)
+        old = self.past[since]
+        rows = [r for name, r in self.table.items() if old.get(name) != r]
+        rows += [r | {"health": "gone"} for name, r in old.items() if name not in self.table]
+        return line(self.version, *rows)
+
+
+class Relay:
+    def __init__(self, model: Model) -> None:
+        self.model, self.catalog = model, Catalog(most_gone=5, most_versions=12, most_wholes=2)
+        self.since: int | None = None
+
+    def hear(self) -> None:
+        self.catalog.apply(self.model.line(self.since))
+        self.since = self.model.version
+
+
+class Watcher:
+    """Keeps what it is told, and nothing that is older."""
+
+    def __init__(self) -> None:
+        self.rows: Table = {}
+        self.version = 0
+        self.position: Position | None = None
+        self.kept: list[Any] = []
+
+    def follow(self, catalog: Catalog) -> None:
+        debt, text = catalog.owed(self.position, self.version)
+        if debt in (Debt.WHOLE, Debt.AHEAD):  # the test's relays are never behind when this is asked
+            whole = catalog.whole()
+            self.kept.append(whole)
+            text, self.position = whole.line, whole.position
+        else:
+            text, self.position = text or catalog.nothing(), catalog.position()
+        told = json.loads(text)
+        assert told["whole"] or told["seq"] >= self.version, "changes that a balancer refuses"
+        self.version = told["seq"]
+        if told["whole"]:
+            self.rows = {}
+        for r in told["hosts"]:
+            if r["health"] == "gone":
+                self.rows.pop(r["host"], None)
+            else:
+                self.rows[r["host"]] = r
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_whoever_follows_what_is_owed_ends_with_the_rows_of_the_source(seed: int) -> None:
+    """Two relays that hear some versions only, watchers that read now and then and change relays by index."""
+    rng = random.Random(seed)
+    model = Model(rng)
+    relays = [Relay(model), Relay(model)]
+    watchers = [(Watcher(), rng.choice(relays)) for _ in range(5)]
+    for _ in range(300):
+        what = rng.random()
+        if what < 0.4:
+            model.step()
+        elif what < 0.41:
+            for relay in relays:  # who had missed the last versions could take a new life for the same one
+                relay.hear()
+            model.again()
+            for relay in relays:  # its watch ended, and the next one asks for all
+                relay.since = None
+                relay.hear()
+        elif what < 0.45:
+            rng.choice(relays).since = None
+        for relay in relays:
+            if rng.random() < 0.6:
+                relay.hear()
+        at = rng.randrange(5)
+        watcher, relay = watchers[at]
+        if rng.random() < 0.1:
+            relay = relays[relay is relays[0]]
+            watchers[at], watcher.position = (watcher, relay), None
+            relay.hear()
+        if relay.catalog.version is not None and rng.random() < 0.7:
+            watcher.follow(relay.catalog)
+            watcher.kept = watcher.kept[-1:]
+            expected = model.past.get(watcher.version)
+            assert expected is None or watcher.rows == expected
+    for watcher, relay in watchers:
+        relay.hear()
+        watcher.follow(relay.catalog)
+        watcher.follow(relay.catalog)  # a whole list may be some versions old
+        assert watcher.rows == model.table and watcher.version == model.version
+
+
+def test_whole_lists_take_turns_at_the_bound_and_the_rest_is_told_when_to_come() -> None:
+    turns = Turns(1_000.0)
+    asked = [turns.ask(100.0, 500) for _ in range(8)]
+    assert [t.wait for t in asked if t.granted] == [0.0, 0.5, 1.0, 1.5]
+    assert [t.wait for t in asked if not t.granted] == [2.0, 2.5, 3.0, 3.5]
+    # Who comes when told to is served, in time for the bound.
+    assert [turns.ask(100.0 + t.wait, 500) for t in asked[4:]] == [(True, 0.0)] * 4
+    assert turns.ask(200.0, 500) == (True, 0.0)
+    turns.give_back(500)
+    assert turns.ask(200.0, 500) == (True, 0.0)
+    assert all(turns.ask(200.0, 10**6).wait <= MOST_RETRY_S for _ in range(9))
+
+
+def test_a_list_longer_than_the_bound_bears_is_let_out_all_the_same() -> None:
+    turns = Turns(1_000.0)
+    assert turns.ask(5.0, 10_000) == (True, 0.0) and not turns.ask(5.1, 10_000).granted
+    assert turns.ask(14.0, 10_000) == (True, 1.0)
