relay: the server that balancers ask, the watch on the source, and the process

Need: thousands of balancers told of a change at once by one process, none of them able to hold up another. A relay without its source ends its watches and turns new ones away, and goes on giving the list to who asks for it alone. SIGTERM ends watches in order within 0.5 s.

--- /dev/null
+++ b/quartzford/relay/relay.py
@@ -0,0 +1,75 @@
+"""A relay put together: the watch on the source, the catalog, and the server that balancers ask."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from quartzford.engine import Clock, Log, LoopClock, StderrLog
+from quartzford.membership.listing import Listing
+from quartzford.relay.catalog import Catalog
+from quartzford.relay.server import Server
+from quartzford.relay.source import follow
+from quartzford.settings.operatorfile import RelaySettings, endpoint
+from quartzford.settings.platform import ConfigError
+
+
+class Relay:
+    """One relay, from its start to its end."""
+
+    def __init__(
+        self, settings: RelaySettings, clock: Clock, log: Log, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.settings, self.clock, self.log = settings, clock, log
+        self.catalog = Catalog()
+        self.watch = follow(settings, self, clock, log, loop)
+        self.server = Server(
+            self.catalog, lambda: self.watch.last_line_at, settings.whole_bytes_per_s, settings.watchers(),
+            clock, log, loop,
+        )  # fmt: skip
+        self._telling = False
+
+    async def start(self) -> None:
+        """Listen, and ask the source; OSError where the address can't be had."""
+        await self.server.listen(*endpoint(self.settings.listen))
+        self.watch.start()
+
+    async def stop(self) -> None:
+        """End all watches in order, and the one on the source."""
+        self.log.line("relay", f"ends; {len(self.server.watchers)} watches are ended")
+        await self.server.stop()
+        self.watch.stop()
+
+    def listed(self, listing: Listing) -> None:
+        """A line of the source. What came in one read is told to watchers as one change."""
+        before = self.catalog.version
+        life = self.catalog.life
+        if not self.catalog.apply(listing):
+            return
+        if before is None:
+            self.log.line("relay", f"version {listing.version}, {len(self.catalog.rows)} upstreams")
+        elif self.catalog.life != life:
+            self.log.line("relay", f"the source has begun again: version {listing.version} after {before}")
+        if not self._telling:
+            self._telling = True
+            self.clock.call_soon(self._tell)
+
+    def _tell(self) -> None:
+        self._telling = False
+        self.server.changed()
+
+
+async def run(settings: RelaySettings) -> None:
+    """A relay until SIGTERM or SIGINT; ConfigError where its address can't be had."""
+    loop = asyncio.get_running_loop()
+    clock = LoopClock(loop)
+    relay = Relay(settings, clock, StderrLog(clock.now), loop)
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    try:
+        await relay.start()
+    except OSError as error:
+        raise ConfigError(f"relay.listen: {settings.listen!r}: {error.strerror or error}") from None
+    await ended.wait()
+    await relay.stop()
--- /dev/null
+++ b/quartzford/relay/server.py
@@ -0,0 +1,187 @@
+"""The side of a relay that balancers ask: who watches, what each is owed, and in which order it is written.
+
+A watcher costs its socket and its position in the catalog. What it is owed is worked out when its socket
+takes bytes: nothing is queued for one that reads slowly. Changes are written as soon as they are known; whole
+lists in pieces behind them, each when its turn comes.
+
+While the source's last line is younger than FRESH_S new watches are answered; past LOST_S the relay has lost
+the source, ends all watches and turns new ones away, so that balancers are told by another relay. The last
+list is still given to who asks for the list alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import socket
+from collections import Counter, deque
+from collections.abc import Callable
+
+from quartzford.engine import Clock, Log
+from quartzford.relay.caller import BEAT_TICKS, Caller, Source
+from quartzford.relay.catalog import Catalog
+from quartzford.relay.turns import Turns
+
+TICK_S = 0.1
+FRESH_S = 2.25  # the source says something every two seconds
+LOST_S = 3.5
+SPREAD_S = 0.5  # in which all watches are ended
+STOP_S = 0.8  # after which a relay that ends waits for no connection
+SUMMARY_TICKS = 100
+PIECES_A_TURN = 4  # of whole lists, in one turn of the loop
+OTHERS = 512  # connections that are no watches
+RESERVE = 64  # descriptors for anything else
+SEND_BYTES = 256 * 1024  # what the kernel keeps of a connection
+ACKNOWLEDGED_MS = 20_000  # a peer that takes nothing for so long is gone
+BACKLOG = 4096
+
+
+class Server:
+    """The listener, its callers, and the beat."""
+
+    def __init__(
+        self, catalog: Catalog, heard_at: Callable[[], float], whole_bytes_per_s: float, most_watchers: int,
+        clock: Clock, log: Log, loop: asyncio.AbstractEventLoop,
+    ) -> None:  # fmt: skip
+        """heard_at: when the source's last line came, on the clock; most_watchers: more are turned away."""
+        self.catalog, self.heard_at, self.clock, self.log, self.loop = catalog, heard_at, clock, log, loop
+        self.turns = Turns(whole_bytes_per_s)
+        self.most_watchers = self._within_descriptors(most_watchers)
+        self.callers: set[Caller] = set()
+        self.watchers: dict[Caller, None] = {}  # longest first
+        self.waiting: dict[Caller, None] = {}  # for the source
+        self.counts: Counter[str] = Counter()
+        self.address = ("", 0)
+        self.stopping = False
+        self._server: asyncio.Server | None = None
+        self._began_at = clock.now()
+        self._lost = False
+        self._ticks = 0
+        self._told: Counter[str] = Counter()  # counts at the last summary
+        self._pieces: deque[Caller] = deque()  # whose whole list goes on
+        self._pumping = False
+        self._framed: tuple[bytes, bytes] = b"", b""
+
+    def _within_descriptors(self, wanted: int) -> int:
+        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        most = wanted if limit == resource.RLIM_INFINITY else min(wanted, limit - OTHERS - RESERVE)
+        if most < wanted:
+            self.log.line("relay", f"{limit} descriptors bear {max(1, most)} watchers of {wanted}")
+        return max(1, most)
+
+    def crowded(self) -> bool:
+        """Too many connections are open that are no watches."""
+        return len(self.callers) - len(self.watchers) > OTHERS
+
+    # ---- start and end
+
+    async def listen(self, host: str, port: int) -> None:
+        """Take calls; port 0 is the kernel's choice."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        # Connections that are taken have these too.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGED_MS)
+        try:
+            listener.bind((host, port))
+        except OSError:
+            listener.close()
+            raise
+        self.address = listener.getsockname()[:2]
+        self._server = await self.loop.create_server(lambda: Caller(self), sock=listener, backlog=BACKLOG)
+        self._began_at = self.clock.now()
+        self.log.line("relay", f"listening on {self.address[0]}:{self.address[1]}")
+        self.clock.call_later(TICK_S, self._tick)
+
+    async def stop(self) -> None:
+        """Nobody is taken any more; watches are ended one after the other, and nothing whole is begun."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.close()
+        for caller in [caller for caller in self.callers if caller not in self.watchers]:
+            caller.leave()
+        self._end_watches()
+        until = self.clock.now() + STOP_S
+        while self.callers and self.clock.now() < until:
+            await asyncio.sleep(0.02)
+        for caller in list(self.callers):
+            caller.abort()
+
+    def _end_watches(self) -> None:
+        """All watches, over SPREAD_S: balancers go elsewhere, and not all in one moment."""
+        count = len(self.watchers)
+        for n, caller in enumerate(list(self.watchers)):
+            self.clock.call_later(SPREAD_S * n / count, caller.leave)
+
+    # ---- the source
+
+    def source(self) -> Source:
+        """How the relay stands to the source; a start counts as if something had been heard."""
+        now = self.clock.now()
+        if now - self.heard_at() <= FRESH_S:
+            return Source.FRESH
+        return Source.WAITING if now - max(self.heard_at(), self._began_at) <= LOST_S else Source.LOST
+
+    def changed(self) -> None:
+        """The catalog has changed: all watchers whose sockets take bytes are told, then who waited."""
+        for caller in list(self.watchers):
+            caller.advance()
+        self._proceed()
+
+    def _proceed(self) -> None:
+        for caller in list(self.waiting):
+            caller.proceed()
+
+    def _tick(self) -> None:
+        if self.stopping:
+            return
+        self.clock.call_later(TICK_S, self._tick)
+        self._ticks += 1
+        lost = self.source() is Source.LOST
+        if lost and not self._lost:
+            self.log.line("relay", f"source lost; {len(self.watchers)} watches are ended")
+            self._end_watches()
+        elif self._lost and not lost:
+            self.log.line("relay", f"source heard again, version {self.catalog.version}")
+        self._lost = lost
+        self._proceed()
+        if not lost:
+            for caller in self.watchers:
+                if caller.slot == self._ticks % BEAT_TICKS:
+                    caller.beat()
+        if self._ticks % SUMMARY_TICKS == 0:
+            self._summary()
+
+    def _summary(self) -> None:
+        new = self.counts - self._told
+        if new:
+            what = ", ".join(f"{name} {count}" for name, count in sorted(new.items()))
+            self.log.line(
+                "relay", f"version {self.catalog.version}, {len(self.watchers)} watchers; since then: {what}"
+            )
+            self._told = self.counts.copy()
+
+    # ---- what is written
+
+    def frame(self, line: bytes) -> bytes:
+        """A line as a chunk; one that many are told is framed once."""
+        if line is not self._framed[0]:
+            self._framed = line, b"%x\r\n%b\r\n" % (len(line), line)
+        return self._framed[1]
+
+    def pump(self, caller: Caller) -> None:
+        """A whole list can go on: a piece when those before it have had theirs."""
+        self._pieces.append(caller)
+        if not self._pumping:
+            self._pumping = True
+            self.clock.call_soon(self._pump)
+
+    def _pump(self) -> None:
+        for _ in range(min(PIECES_A_TURN, len(self._pieces))):
+            caller = self._pieces.popleft()
+            if caller.piece():
+                self._pieces.append(caller)
+        self._pumping = bool(self._pieces)
+        if self._pumping:
+            self.clock.call_soon(self._pump)
--- /dev/null
+++ b/quartzford/relay/source.py
@@ -0,0 +1,28 @@
+"""The relay as an asker of the list service: one watch, made again whenever it ends.
+
+Each call asks for everything (a watch at index 0): while no watch stood the service may have begun again,
+with versions that say nothing of the ones before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from quartzford.engine import Clock, Log
+from quartzford.membership.addresses import Single
+from quartzford.membership.calls import TOLD_S, Shared, draws
+from quartzford.membership.listing import Sink
+from quartzford.membership.watch import Watch
+from quartzford.settings.operatorfile import RelaySettings, endpoint
+
+
+def follow(
+    settings: RelaySettings, sink: Sink, clock: Clock, log: Log, loop: asyncio.AbstractEventLoop
+) -> Watch:
+    """A watch on the source, not yet started; its calls are spread with those of the other relays."""
+    rng = draws("relay", settings.listen, secrets.randbits(32))
+    calls = Shared(settings.relays, settings.source_calls_per_s, TOLD_S, rng, clock.now)
+    source = endpoint(settings.source)
+    addresses = Single(lambda: source, whole_by_watch=True)
+    return Watch(sink, addresses, calls, clock, log, loop, resync=True)
--- /dev/null
+++ b/tests/test_relay_server.py
@@ -0,0 +1,395 @@
+"""A relay on real sockets: the source's lines are the test's, balancers are plain connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from peers import Message, Peer, run, until
+from test_relay_catalog import row
+
+from quartzford.engine import LoopClock, StderrLog
+from quartzford.relay import caller
+from quartzford.relay.caller import PIECE_BYTES, State
+from quartzford.relay.catalog import MOST_WHOLES
+from quartzford.relay.relay import Relay
+from quartzford.settings.operatorfile import RelaySettings
+
+PATH = "/catalog/members"
+
+
+def table(version: int, *rows: dict[str, Any], whole: bool = True) -> dict[str, Any]:
+    return {"seq": version, "whole": whole, "hosts": list(rows)}
+
+
+class Source:
+    """A list service; silent: it takes calls, beats no more and answers nothing."""
+
+    def __init__(self, *rows: dict[str, Any], version: int = 8) -> None:
+        self.now = table(version, *rows)
+        self.silent = False
+        self.watches: list[asyncio.StreamWriter] = []
+        self.peer = Peer(self._answer)
+
+    async def _answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        if not self.silent:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.watches.append(writer)
+            self.say(self.now)
+
+    def say(self, line: dict[str, Any] | bytes) -> None:
+        """A line on the watch that stands, and what is told to who calls next."""
+        data = line if isinstance(line, bytes) else json.dumps(line).encode() + b"\n"
+        if isinstance(line, dict) and line["whole"]:
+            self.now = line
+        self.watches[-1].write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def beats(self) -> None:
+        while True:
+            await asyncio.sleep(0.3)
+            if self.watches and not self.silent:
+                self.say(b"\n")
+
+
+class Balancer:
+    """A call for the list, or a watch."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.taken = b""  # byte by byte
+
+    async def status(self) -> int:
+        self.head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        return int(self.head.split()[1])
+
+    async def line(self) -> dict[str, Any]:
+        """The next line that is no beat; IncompleteReadError where the watch ends before."""
+        while True:
+            size = int(await self.reader.readuntil(b"\r\n"), 16)
+            data = (await self.reader.readexactly(size + 2))[:-2]
+            if not size:
+                raise asyncio.IncompleteReadError(b"", None)
+            if data.strip():
+                told: dict[str, Any] = json.loads(data)
+                return told
+
+    async def lines_to(self, version: int) -> list[dict[str, Any]]:
+        lines = [await self.line()]
+        while lines[-1]["seq"] != version:
+            lines.append(await self.line())
+        return lines
+
+    async def ended(self) -> bool:
+        """In order, with nothing told before."""
+        with suppress(asyncio.IncompleteReadError):
+            raise AssertionError(await self.line())
+        return await self.reader.read() == b""
+
+
+class Site:
+    """A relay in this process and its source."""
+
+    def __init__(self, source: Source, relay: Relay) -> None:
+        self.source, self.relay, self.server = source, relay, relay.server
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def raw(self, text: str, receive: int = 0) -> Balancer:
+        """A connection that has sent so much. receive: what its kernel takes unread, 0: as usual."""
+        sock = socket.socket()
+        if receive:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, self.server.address)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1024 if receive else 2**16)
+        self.writers.append(writer)
+        writer.write(text.encode())
+        return Balancer(reader, writer)
+
+    async def get(self, what: str = PATH) -> Balancer:
+        return await self.raw(f"GET {what} HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    async def watch(self, index: int, receive: int = 0) -> Balancer:
+        """A watch that has been answered."""
+        watch = await self.call(index, receive)
+        assert await watch.status() == 200
+        return watch
+
+    async def call(self, index: int, receive: int = 0) -> Balancer:
+        return await self.raw(f"GET {PATH}?stream=1&index={index} HTTP/1.1\r\nHost: x\r\n\r\n", receive)
+
+
+@asynccontextmanager
+async def site(*rows: dict[str, Any], **settings: Any) -> AsyncIterator[Site]:
+    source, loop = Source(*(rows or (row("a"), row("b")))), asyncio.get_running_loop()
+    await source.peer.start()
+    beats = asyncio.ensure_future(source.beats())
+    values = {"listen": "127.0.0.1:0", "source": f"127.0.0.1:{source.peer.port}", "balancers": 100}
+    clock = LoopClock(loop)
+    relay = Relay(RelaySettings(**(values | settings)), clock, StderrLog(clock.now), loop)
+    await relay.start()
+    made = Site(source, relay)
+    try:
+        await until(lambda: relay.catalog.version is not None, 60.0)
+        yield made
+    finally:
+        beats.cancel()
+        for writer in made.writers:
+            writer.transport.abort()
+        await relay.stop()
+        await source.peer.stop()
+
+
+def test_watches_by_index_are_told_changes_and_beats_and_nobody_ahead_is_told_an_older_list() -> None:
+    async def main() -> None:
+        async with site() as here:
+            current, old = await here.watch(8), await here.watch(3)
+            assert await current.line() == table(8, whole=False)
+            assert await old.line() == table(8, row("a"), row("b"))
+            behind, other = await here.call(9), await here.call(50)
+            await until(lambda: len(here.server.waiting) == 2)
+            here.source.say(table(9, row("a", block=7), whole=False))
+            for watch in (current, old):
+                assert await watch.line() == table(9, row("a", block=7), whole=False)
+            assert await behind.status() == 200 and await behind.line() == table(9, whole=False)
+            assert await other.status() == 200 and (await other.line())["whole"]
+            assert await current.reader.readuntil(b"\n\r\n") == b"1\r\n\n\r\n"
+            assert len(here.source.peer.came) == 1 and "index=0" in here.source.peer.came[0].line
+
+    run(main)()
+
+
+def test_what_is_no_call_for_the_list_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(caller, "REQUEST_S", 1.0)
+
+    async def main() -> None:
+        async with site() as here:
+            silent, slow = await here.raw(""), await here.raw("GET /catalog/mem")
+            asked = {
+                "GET /catalog HTTP/1.1\r\n\r\n": 404,
+                f"POST {PATH} HTTP/1.1\r\nContent-Length: 0\r\n\r\n": 405,
+                f"GET {PATH}?stream=1&index=-4 HTTP/1.1\r\n\r\n": 400,
+                f"GET {PATH}?stream=1&index=9{'9' * 30} HTTP/1.1\r\n\r\n": 400,
+                f"GET {PATH} HTTP/1.1\r\nX: {'x' * 9_000}": 431,
+                "nonsense\r\n\r\n": 400,
+            }
+            for text, status in asked.items():
+                call = await here.raw(text)
+                assert await call.status() == status and await call.reader.read() == b""
+            whole = await here.get()
+            assert await whole.status() == 200
+            assert json.loads(await whole.reader.read()) == here.source.now
+            assert await silent.reader.read() == b"" == await slow.reader.read()
+
+    run(main)()
+
+
+def test_a_slow_watcher_is_told_the_sum_of_what_it_missed() -> None:
+    """A row that changes twice between two of its reads, one that goes and comes back, one that goes."""
+
+    async def main() -> None:
+        async with site(row("a"), row("b"), row("c")) as here:
+            slow, quick = await here.watch(8, receive=4096), await here.watch(8)
+            kept = next(iter(here.server.watchers))
+            version = 8
+            while not kept._paused:
+                version += 1
+                here.source.say(
+                    table(version, *(row(f"s{n}", born_ms=version) for n in range(900)), whole=False)
+                )
+                await quick.lines_to(version)
+            mid = version
+            for changed in (
+                row("a", block=1), row("a", block=2), row("b", health="gone"), row("b", block=5),
+                row("c", health="gone"),
+            ):  # fmt: skip
+                version += 1
+                here.source.say(table(version, changed, whole=False))
+                assert (await quick.lines_to(version))[-1]["hosts"] == [changed]
+            assert kept.transport.get_write_buffer_size() <= 200_000  # one change's rest: nothing was queued
+            lines = await slow.lines_to(version)
+            assert lines[-1] == table(
+                version, row("a", block=2), row("b", block=5), row("c", health="gone"), whole=False
+            )
+            assert lines[-2]["seq"] == mid and len(lines) == mid - 8 + 2
+
+    run(main)()
+
+
+def test_63000_rows_and_watchers_that_hardly_read_hold_up_nobody() -> None:
+    """Changes come while whole lists are under way; encodings are bounded, and each ends with the rows."""
+
+    async def main() -> None:
+        rows = [row(f"s{n}") for n in range(63_000)]
+        async with site(*rows, whole_bytes_per_s=1e9) as here:
+            quick = await here.watch(8)
+            assert await quick.line() == table(8, whole=False)
+            drips = []
+            for version in range(9, 9 + 2 * MOST_WHOLES):
+                drips.append(await here.watch(0, receive=4096))
+                here.source.say(table(version, row("s5", block=version), whole=False))
+                assert (await quick.lines_to(version))[-1]["hosts"] == [row("s5", block=version)]
+                for drip in drips:
+                    drip.taken += await drip.reader.readexactly(1)
+            callers = [c for c in here.server.watchers if c.state is State.WHOLE]
+            assert len(callers) == len(drips)
+            assert all(c.transport.get_write_buffer_size() <= PIECE_BYTES + 64 for c in callers)
+            assert len(here.relay.catalog._wholes) <= MOST_WHOLES + 1
+            for drip in (drips[0], drips[-1]):
+                data = drip.taken
+                while b'"seq":%d,' % version not in data[-400:] or not data.endswith(b"\n\r\n"):
+                    data += await drip.reader.read(2**20)
+                lines = [json.loads(part) for part in data.split(b"\r\n") if part.startswith(b'{"seq"')]
+                told = {r["host"]: r for line in lines for r in line["hosts"]}
+                assert [line["whole"] for line in lines] == [True, False]
+                assert told == {r["host"]: r for r in rows} | {"s5": row("s5", block=version)}
+
+    run(main)()
+
+
+@pytest.mark.parametrize("version", [3, 8])
+def test_a_source_that_begins_again_is_believed(version: int) -> None:
+    async def main() -> None:
+        async with site() as here:
+            watch = await here.watch(8)
+            await watch.line()
+            again = table(version, row("a", born_ms=9), row("d"))
+            here.source.say(again)
+            assert await watch.line() == again
+            moved = await here.watch(version)  # by an index that may be of the life before
+            assert await moved.line() == again
+            here.source.say(table(version + 1, row("d", block=2), whole=False))
+            assert (
+                await watch.line() == await moved.line() == table(version + 1, row("d", block=2), whole=False)
+            )
+
+    run(main)()
+
+
+GARBAGE = [
+    b"\x00\xff\n",
+    b'{"seq":9}\n',
+    b'{"seq":9,"whole":true,"hosts":[{"host":""}]}\n',
+    json.dumps(table(9, row("x", share=-1))).encode() + b"\n",
+    json.dumps(table(4, whole=False)).encode() + b"\n",
+]
+
+
+@pytest.mark.parametrize("garbage", GARBAGE, ids=range(len(GARBAGE)))
+def test_garbage_from_the_source_is_kept_out(garbage: bytes) -> None:
+    async def main() -> None:
+        async with site() as here:
+            watch = await here.watch(8)
+            await watch.line()
+            here.source.say(garbage)
+            await until(lambda: len(here.source.peer.came) == 2)
+            assert here.relay.catalog.version == 8 and len(here.server.watchers) == 1
+            await until(lambda: len(here.source.watches) == 2)
+            here.source.say(table(9, row("a", block=1), whole=False))
+            assert await watch.line() == table(9, row("a", block=1), whole=False)
+
+    run(main)()
+
+
+def test_cut_from_its_source_alone_it_says_so_and_the_return_costs_one_call() -> None:
+    async def main() -> None:
+        async with site() as here:
+            watches = [await here.watch(8) for _ in range(10)]
+            for watch in watches:
+                await watch.line()
+            here.source.silent = True
+            assert all([await watch.ended() for watch in watches])
+            late = await here.call(8)
+            assert await late.status() == 503 and "Retry-After" in late.head
+            whole = await here.get()
+            assert await whole.status() == 200 and json.loads(await whole.reader.read()) == here.source.now
+            await here.source.peer.stop()
+            await until(lambda: here.relay.watch.counts["ended unreached"] >= 2)
+            before = len(here.source.peer.came)
+            here.source.silent = False
+            await here.source.peer.start(here.source.peer.port)
+            await until(lambda: here.relay.watch.current())
+            back = await here.watch(8)
+            assert await back.line() == table(8, whole=False)
+            assert len(here.source.peer.came) == before + 1
+
+    run(main)()
+
+
+def test_whole_lists_keep_to_the_bound_and_the_rest_is_told_when_to_come() -> None:
+    async def main() -> None:
+        rows = [row(f"s{n}") for n in range(400)]
+        async with site(*rows, whole_bytes_per_s=200_000.0) as here:
+            calls = [await here.get() for _ in range(10)] + [await here.call(0) for _ in range(10)]
+            told = [await call.status() for call in calls]
+            size = len(here.relay.catalog.whole().line)
+            assert 6 <= told.count(200) <= 8 + 1.5 * 200_000 / size and told.count(503) >= 6
+            waits = [float(re.findall(r"Retry-After: (\S+)", c.head)[0]) for c in calls if "503" in c.head]
+            assert min(waits) > 0 and len(set(waits)) == len(waits)
+            first = calls[told.index(200)]
+            assert json.loads(await first.reader.read())["hosts"] == rows
+            assert len(here.server.watchers) == told[10:].count(200)
+
+    run(main)()
+
+
+def test_no_more_watchers_than_it_is_told_to_bear() -> None:
+    async def main() -> None:
+        async with site(balancers=3, most_watchers=3) as here:
+            watches = [await here.watch(8) for _ in range(3)]
+            full = await here.call(8)
+            assert await full.status() == 503
+            watches[0].writer.close()
+            await until(lambda: len(here.server.watchers) == 2)
+            await here.watch(8)
+
+    run(main)()
+
+
+def test_ended_by_a_signal_its_watches_end_in_order_and_no_whole_list_is_sent(tmp_path: Path) -> None:
+    async def main() -> None:
+        source = Source(*(row(f"s{n}") for n in range(2_000)))
+        await source.peer.start()
+        beats = asyncio.ensure_future(source.beats())
+        file = tmp_path / "operator.toml"
+        file.write_text(
+            f'[relay]\nlisten = "127.0.0.1:0"\nsource = "127.0.0.1:{source.peer.port}"\nbalancers = 100\n'
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "quartzford",
+            "relay",
+            "--operator",
+            str(file),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert process.stderr is not None
+        try:
+            line = (await process.stderr.readline()).decode()
+            assert line.startswith("relay: listening on 127.0.0.1:")
+            await process.stderr.readline()  # it has the list
+            watches = []
+            for _ in range(30):
+                watch = Balancer(*await asyncio.open_connection("127.0.0.1", int(line.rpartition(":")[2])))
+                watch.writer.write(f"GET {PATH}?stream=1&index=8 HTTP/1.1\r\n\r\n".encode())
+                assert await watch.status() == 200 and await watch.line() == table(8, whole=False)
+                watches.append(watch)
+            process.send_signal(signal.SIGTERM)
+            assert all([await watch.ended() for watch in watches])
+            assert await asyncio.wait_for(process.wait(), 10.0) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            beats.cancel()
+            await source.peer.stop()
+
+    run(main)()
