--- a/quartzford/relay/turns.py
+++ b/quartzford/relay/turns.py
@@ -2,7 +2,8 @@
 
 Each list takes the rate for as long as its bytes last at it, and begins when those before it have had theirs.
 So few are under way at a time, and one whose watcher reads slowly keeps nobody else waiting. Who would wait
-for longer than MOST_WAIT_S is told when to come again, each later than the one before. Times are in seconds.
+for longer than MOST_WAIT_S is told when to come again: each later than the one before, and from the beginning
+past what a balancer waits at most, so that those who are many come evenly. Times are in seconds.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from typing import NamedTuple
 
 MOST_WAIT_S = 1.5  # within the time that a call's first line may take
-MOST_RETRY_S = 30.0
+MOST_RETRY_S = 3.0  # a balancer that is to be told a change in six seconds asks again by then
 
 
 class Turn(NamedTuple):
@@ -34,8 +35,8 @@
         if begin - now <= MOST_WAIT_S:
             self.free_at = begin + lasts
             return Turn(True, begin - now)
-        promised = max(begin, self.promised_at)
-        self.promised_at = min(promised + lasts, now + MOST_RETRY_S)
+        promised = self.promised_at if begin <= self.promised_at <= now + MOST_RETRY_S else begin
+        self.promised_at = promised + lasts
         return Turn(False, min(promised - now, MOST_RETRY_S))
 
     def give_back(self, size: int) -> None:
