--- a/quartzford/relay/server.py
+++ b/quartzford/relay/server.py
@@ -29,7 +29,7 @@
 STOP_S = 0.8  # after which a relay that ends waits for no connection
 SUMMARY_TICKS = 100
 PIECES_A_TURN = 4  # of whole lists, in one turn of the loop
-OTHERS = 512  # connections that are no watches
+OTHERS = 512  # connections that are no watches; fewer with few descriptors
 RESERVE = 64  # descriptors for anything else
 SEND_BYTES = 256 * 1024  # what the kernel keeps of a connection
 ACKNOWLEDGED_MS = 20_000  # a peer that takes nothing for so long is gone
@@ -46,7 +46,9 @@
         """heard_at: when the source's last line came, on the clock; most_watchers: more are turned away."""
         self.catalog, self.heard_at, self.clock, self.log, self.loop = catalog, heard_at, clock, log, loop
         self.turns = Turns(whole_bytes_per_s)
-        self.most_watchers = self._within_descriptors(most_watchers)
+        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.most_others = OTHERS if limit == resource.RLIM_INFINITY else min(OTHERS, limit // 8)
+        self.most_watchers = self._within_descriptors(most_watchers, limit)
         self.callers: set[Caller] = set()
         self.watchers: dict[Caller, None] = {}  # longest first
         self.waiting: dict[Caller, None] = {}  # for the source
@@ -62,16 +64,16 @@
         self._pumping = False
         self._framed: tuple[bytes, bytes] = b"", b""
 
-    def _within_descriptors(self, wanted: int) -> int:
-        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        most = wanted if limit == resource.RLIM_INFINITY else min(wanted, limit - OTHERS - RESERVE)
+    def _within_descriptors(self, wanted: int, limit: int) -> int:
+        left = limit - self.most_others - RESERVE
+        most = wanted if limit == resource.RLIM_INFINITY else min(wanted, left)
         if most < wanted:
             self.log.line("relay", f"{limit} descriptors bear {max(1, most)} watchers of {wanted}")
         return max(1, most)
 
     def crowded(self) -> bool:
         """Too many connections are open that are no watches."""
-        return len(self.callers) - len(self.watchers) > OTHERS
+        return len(self.callers) - len(self.watchers) > self.most_others
 
     # ---- start and end
 
