--- a/quartzford/relay/caller.py
+++ b/quartzford/relay/caller.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from enum import Enum
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, Protocol, cast
 from urllib.parse import parse_qsl
 
 import httptools
 
-from quartzford.relay.catalog import Debt, Owed, Position, Whole
-
-if TYPE_CHECKING:
-    from quartzford.engine import Handle
-    from quartzford.relay.server import Server
+from quartzford.engine import Clock, Handle
+from quartzford.relay.catalog import Catalog, Debt, Owed, Position, Whole
+from quartzford.relay.turns import Turns
 
 PATH = "/catalog/members"
 HEAD_BYTES = 8 * 1024
@@ -41,6 +40,35 @@
     LOST = "lost"
 
 
+class Server(Protocol):
+    """What a connection needs of the relay that it belongs to."""
+
+    catalog: Catalog
+    turns: Turns
+    clock: Clock
+    callers: set[Caller]
+    watchers: dict[Caller, None]
+    waiting: dict[Caller, None]  # for the source
+    counts: Counter[str]
+    most_watchers: int
+    stopping: bool
+
+    def crowded(self) -> bool:
+        """Too many connections are open that are no watches."""
+
+    def source(self) -> Source:
+        """How the relay stands to the source."""
+
+    def heard_at(self) -> float:
+        """When the source's last line came, on the clock."""
+
+    def frame(self, line: bytes) -> bytes:
+        """A line as a chunk."""
+
+    def pump(self, caller: Caller) -> None:
+        """A whole list can go on."""
+
+
 class State(Enum):
     """How far a call has come."""
 
@@ -92,6 +120,7 @@
     # ---- the connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A request is waited for, for REQUEST_S."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
         server = self.server
@@ -103,6 +132,7 @@
         self._after(REQUEST_S, self.abort)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Nothing is left of the call."""
         self._over()
         self._parser = None
         if self._timer is not None:
@@ -110,6 +140,7 @@
         self.server.callers.discard(self)
 
     def data_received(self, data: bytes) -> None:
+        """Read the request; what follows it is not read."""
         if self.state is not State.ASKING:
             return  # one call to a connection
         self._seen += len(data)
@@ -129,9 +160,11 @@
         return False
 
     def pause_writing(self) -> None:
+        """The socket takes no more bytes."""
         self._paused = True
 
     def resume_writing(self) -> None:
+        """The socket has taken all: what is owed by now is written."""
         self._paused = False
         if self.state is State.WHOLE:
             self.server.pump(self)
@@ -182,9 +215,11 @@
     # ---- httptools
 
     def on_url(self, url: bytes) -> None:
+        """A part of the request's target."""
         self._url += url
 
     def on_headers_complete(self) -> None:
+        """The request is known."""
         if self.state is not State.ASKING or self._seen > HEAD_BYTES:
             return
         target = self._url.decode("latin-1")
