Relay: room for who finds none elsewhere, no older list to a newer index, no news while unwatched

A list that was encoded before could be told to a balancer whose index is newer. Between the end of the watch on the source and the next one a relay answered new watches, though the source may have begun again.

--- a/quartzford/relay/caller.py
+++ b/quartzford/relay/caller.py
@@ -12,6 +12,7 @@
 
 from quartzford.engine import Clock, Handle
 from quartzford.relay.catalog import Catalog, Debt, Owed, Position, Whole
+from quartzford.relay.room import Room
 from quartzford.relay.turns import Turns
 
 PATH = "/catalog/members"
@@ -50,7 +51,7 @@
     watchers: dict[Caller, None]
     waiting: dict[Caller, None]  # for the source
     counts: Counter[str]
-    most_watchers: int
+    room: Room
     stopping: bool
 
     def crowded(self) -> bool:
@@ -254,7 +255,8 @@
         if self._timer is not None:
             self._timer.cancel()
         if self.index is not None:
-            if len(server.watchers) >= server.most_watchers:
+            host = self.transport.get_extra_info("peername")[0]
+            if not server.room.admits(host, len(server.watchers), server.clock.now()):
                 return self._turn_away(FULL_RETRY_S, "full")
             server.counts["watches"] += 1
             self.slot = server.counts["watches"] % BEAT_TICKS
@@ -340,7 +342,9 @@
         if self.server.stopping:
             return self.leave()
         self._reserved = 0
-        self._whole = self.server.catalog.whole(exact=self.index is None)
+        self._whole = self.server.catalog.whole(exact=self.index is None, since=self._since())
+        if self._whole.position.version < self._since():
+            return self._turn_away(LOST_RETRY_S, "turned away")
         line = self._whole.line
         self.server.counts["whole"] += 1
         if self.index is None:
@@ -356,6 +360,14 @@
         if not self._paused:
             self.server.pump(self)
 
+    def _since(self) -> int:
+        """The version that the list has to have: a balancer from elsewhere may hold a newer one than others.
+
+        An index above the version held is of another life, and says nothing.
+        """
+        index = self.index or 0
+        return index if self.position is None and index <= self.server.catalog.position().version else 0
+
     def piece(self) -> bool:
         """Write the next piece of the whole list; whether another one may follow at once."""
         if self.state is not State.WHOLE or self._paused:
--- a/quartzford/relay/catalog.py
+++ b/quartzford/relay/catalog.py
@@ -250,17 +250,19 @@
         """How long the whole list's line is, about."""
         return self.row_bytes + len(self.rows) + len(self.nothing())
 
-    def whole(self, exact: bool = False) -> Whole:
+    def whole(self, exact: bool = False, since: int = 0) -> Whole:
         """The whole list, at most a few versions old: who watches is owed the changes behind it.
 
-        exact: of the version held, unless too many older encodings are in use.
+        exact: of the version held; since: of that version or a later one. Both unless too many older
+        encodings are in use.
         """
         position, last = self.position(), self._whole
         if last is not None and last.position == position:
             return last
         if last is not None and last.position.life == position.life and last.position.version >= self.floor:
             crowded = len(self._wholes) >= self.most_wholes
-            if crowded or (not exact and self._few_behind(last)):
+            late_enough = not exact and last.position.version >= since
+            if crowded or (late_enough and self._few_behind(last)):
                 return last
         line = _line(position.version, True, [row.text for row in self.rows.values()])
         self._whole = Whole(position, line)
--- a/quartzford/relay/relay.py
+++ b/quartzford/relay/relay.py
@@ -24,8 +24,8 @@
         self.catalog = Catalog()
         self.watch = follow(settings, self, clock, log, loop)
         self.server = Server(
-            self.catalog, lambda: self.watch.last_line_at, settings.whole_bytes_per_s, settings.watchers(),
-            clock, log, loop,
+            self.catalog, lambda: self.watch.last_line_at, self.watch.current, settings.whole_bytes_per_s,
+            settings.watchers(), clock, log, loop,
         )  # fmt: skip
         self._telling = False
 
--- a/quartzford/relay/server.py
+++ b/quartzford/relay/server.py
@@ -20,6 +20,7 @@
 from quartzford.engine import Clock, Log
 from quartzford.relay.caller import BEAT_TICKS, Caller, Source
 from quartzford.relay.catalog import Catalog
+from quartzford.relay.room import Room
 from quartzford.relay.turns import Turns
 
 TICK_S = 0.1
@@ -31,6 +32,7 @@
 PIECES_A_TURN = 4  # of whole lists, in one turn of the loop
 OTHERS = 512  # connections that are no watches; fewer with few descriptors
 RESERVE = 64  # descriptors for anything else
+MOST_WATCHES = 100_000  # where descriptors set no bound
 SEND_BYTES = 256 * 1024  # what the kernel keeps of a connection
 ACKNOWLEDGED_MS = 20_000  # a peer that takes nothing for so long is gone
 BACKLOG = 4096
@@ -40,15 +42,19 @@
     """The listener, its callers, and the beat."""
 
     def __init__(
-        self, catalog: Catalog, heard_at: Callable[[], float], whole_bytes_per_s: float, most_watchers: int,
-        clock: Clock, log: Log, loop: asyncio.AbstractEventLoop,
+        self, catalog: Catalog, heard_at: Callable[[], float], connected: Callable[[], bool],
+        whole_bytes_per_s: float, most_watchers: int, clock: Clock, log: Log, loop: asyncio.AbstractEventLoop,
     ) -> None:  # fmt: skip
-        """heard_at: when the source's last line came, on the clock; most_watchers: more are turned away."""
-        self.catalog, self.heard_at, self.clock, self.log, self.loop = catalog, heard_at, clock, log, loop
+        """heard_at: when the source's last line came, on the clock; connected: a watch on it stands.
+
+        most_watchers: the relay's share of the fleet; see room.py for what comes beyond it.
+        """
+        self.catalog, self.heard_at, self.connected = catalog, heard_at, connected
+        self.clock, self.log, self.loop = clock, log, loop
         self.turns = Turns(whole_bytes_per_s)
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.most_others = OTHERS if limit == resource.RLIM_INFINITY else min(OTHERS, limit // 8)
-        self.most_watchers = self._within_descriptors(most_watchers, limit)
+        self.room = self._room(most_watchers, limit)
         self.callers: set[Caller] = set()
         self.watchers: dict[Caller, None] = {}  # longest first
         self.waiting: dict[Caller, None] = {}  # for the source
@@ -64,12 +70,14 @@
         self._pumping = False
         self._framed: tuple[bytes, bytes] = b"", b""
 
-    def _within_descriptors(self, wanted: int, limit: int) -> int:
-        left = limit - self.most_others - RESERVE
-        most = wanted if limit == resource.RLIM_INFINITY else min(wanted, left)
-        if most < wanted:
-            self.log.line("relay", f"{limit} descriptors bear {max(1, most)} watchers of {wanted}")
-        return max(1, most)
+    def _room(self, share: int, limit: int) -> Room:
+        """Within the descriptors that the process may have."""
+        if limit == resource.RLIM_INFINITY:
+            return Room(share, MOST_WATCHES)
+        borne = max(1, limit - self.most_others - RESERVE)
+        if borne < share:
+            self.log.line("relay", f"{limit} descriptors bear {borne} watchers of {share}")
+        return Room(min(share, borne), borne)
 
     def crowded(self) -> bool:
         """Too many connections are open that are no watches."""
@@ -121,8 +129,8 @@
     def source(self) -> Source:
         """How the relay stands to the source; a start counts as if something had been heard."""
         now = self.clock.now()
-        if now - self.heard_at() <= FRESH_S:
-            return Source.FRESH
+        if self.connected() and now - self.heard_at() <= FRESH_S:
+            return Source.FRESH  # without a watch on it, it may have begun again
         return Source.WAITING if now - max(self.heard_at(), self._began_at) <= LOST_S else Source.LOST
 
     def changed(self) -> None:
--- a/tests/test_relay_catalog.py
+++ b/tests/test_relay_catalog.py
@@ -10,6 +10,7 @@
 
 from quartzford.membership.listing import Listing, read_listing
 from quartzford.relay.catalog import MOST_WHOLES, Catalog, Debt, Position
+from quartzford.relay.room import AGAIN_S, Room
 from quartzford.relay.turns import MOST_RETRY_S, Turns
 
 Table = dict[str, dict[str, Any]]
@@ -297,3 +298,22 @@
     turns = Turns(1_000.0)
     assert turns.ask(5.0, 10_000) == (True, 0.0) and not turns.ask(5.1, 10_000).granted
     assert turns.ask(14.0, 10_000) == (True, 1.0)
+
+
+def test_room_beyond_the_share_is_for_those_that_come_again() -> None:
+    room = Room(share=2, most=3)
+    assert room.admits("a", 0, 0.0) and room.admits("b", 1, 0.0)
+    assert not room.admits("c", 2, 0.0) and not room.admits("d", 2, 0.0)
+    assert room.admits("c", 2, 4.0)
+    assert not room.admits("d", 3, 4.0), "nobody beyond what the descriptors bear"
+    assert not room.admits("d", 2, 4.0 + AGAIN_S + 0.1), "a better place that is tried now and then"
+    assert room.admits("d", 1, 30.0)
+    assert not room.admits("d", 2, 31.0), "taken meanwhile: it comes for the first time"
+
+
+def test_room_remembers_no_more_than_so_many(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("quartzford.relay.room.MOST_REMEMBERED", 2)
+    room = Room(share=0, most=10)
+    for host in ("a", "b", "c"):
+        assert not room.admits(host, 1, 0.0)
+    assert room.admits("b", 1, 1.0) and not room.admits("a", 1, 1.0)
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -103,9 +103,11 @@
         self.source, self.relay, self.server = source, relay, relay.server
         self.writers: list[asyncio.StreamWriter] = []
 
-    async def raw(self, text: str, receive: int = 0) -> Balancer:
+    async def raw(self, text: str, receive: int = 0, host: str = "") -> Balancer:
         """A connection that has sent so much. receive: what its kernel takes unread, 0: as usual."""
         sock = socket.socket()
+        if host:
+            sock.bind((host, 0))
         if receive:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
         sock.setblocking(False)
@@ -124,8 +126,9 @@
         assert await watch.status() == 200
         return watch
 
-    async def call(self, index: int, receive: int = 0) -> Balancer:
-        return await self.raw(f"GET {PATH}?stream=1&index={index} HTTP/1.1\r\nHost: x\r\n\r\n", receive)
+    async def call(self, index: int, receive: int = 0, host: str = "") -> Balancer:
+        text = f"GET {PATH}?stream=1&index={index} HTTP/1.1\r\nHost: x\r\n\r\n"
+        return await self.raw(text, receive, host)
 
 
 @asynccontextmanager
@@ -286,6 +289,41 @@
 ]
 
 
+def test_a_list_encoded_before_is_no_answer_to_a_newer_index() -> None:
+    """The relay has heard 8 and then 11; who comes with 10 is owed the whole list, and never that of 8."""
+
+    async def main() -> None:
+        async with site() as here:
+            assert (await (await here.watch(0)).line())["seq"] == 8
+            here.source.say(table(11, row("c"), whole=False))
+            await until(lambda: here.relay.catalog.version == 11)
+            told = await (await here.watch(10)).line()
+            assert told["whole"] and told["seq"] == 11
+
+    run(main)()
+
+
+def test_while_no_watch_on_the_source_stands_a_new_call_waits_for_it() -> None:
+    """The source may have begun again, and the one who calls may know its new list."""
+
+    async def main() -> None:
+        async with site() as here:
+            here.source.silent = True
+            here.source.watches[-1].close()
+            await until(lambda: not here.relay.watch.current())
+            call = await here.call(8)
+            await until(lambda: here.server.waiting)
+            here.source.now = table(3, row("z"))
+            here.source.silent = False
+            for writer in here.source.peer.writers:
+                writer.close()  # the call that got no answer
+            assert await call.status() == 200
+            told = await call.line()
+            assert told["seq"] == 3 and [one["host"] for one in told["hosts"]] == ["z"]
+
+    run(main)()
+
+
 @pytest.mark.parametrize("garbage", GARBAGE, ids=range(len(GARBAGE)))
 def test_garbage_from_the_source_is_kept_out(garbage: bytes) -> None:
     async def main() -> None:
@@ -359,6 +397,20 @@
     run(main)()
 
 
+def test_who_comes_again_has_found_no_room_elsewhere_and_is_taken() -> None:
+    async def main() -> None:
+        async with site(balancers=1, most_watchers=1) as here:
+            await here.watch(8)
+            for host in ("127.0.0.2", "127.0.0.3"):
+                assert await (await here.call(8, host=host)).status() == 503
+            again = await here.call(8, host="127.0.0.2")
+            assert await again.status() == 200
+            assert (await again.line())["seq"] == 8
+            assert len(here.server.watchers) == 2
+
+    run(main)()
+
+
 def test_ended_by_a_signal_its_watches_end_in_order_and_no_whole_list_is_sent(tmp_path: Path) -> None:
     async def main() -> None:
         source = Source(*(row(f"s{n}") for n in range(2_000)))
