Test: a list that is encoded again has rows enough to be used again

Cause: with two rows the changes were over an eighth of the list, so the encoding of before was not used and the test of passed without its mend (its body says otherwise). With a hundred rows it fails without it and passes with it.

--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -293,7 +293,7 @@
     """The relay has heard 8 and then 11; who comes with 10 is owed the whole list, and never that of 8."""
 
     async def main() -> None:
-        async with site() as here:
+        async with site(*(row(f"s{n}") for n in range(100))) as here:
             assert (await (await here.watch(0)).line())["seq"] == 8
             here.source.say(table(11, row("c"), whole=False))
             await until(lambda: here.relay.catalog.version == 11)
