The control side of a balancer is a class of its own, put together by one function

Processes without client traffic need the program's own calls, watch, list and decision module, not a copy.

--- /dev/null
+++ b/quartzford/control.py
@@ -0,0 +1,180 @@
+"""The control side of a balancer: its decision module, its list, and the watch that keeps the list current.
+
+`assemble` puts one together, for a `Node` with its fronts and backends as for a process that has no client
+traffic at all. Whoever makes attempts follows the list by `followers`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Protocol
+
+from quartzford.decision import interface as io
+from quartzford.engine import Clock, Engine, Log
+from quartzford.membership.addresses import Address, Addresses, Relays, Single
+from quartzford.membership.calls import Agent, Calls, Shared, draws
+from quartzford.membership.listing import Listing
+from quartzford.membership.pieces import Queue
+from quartzford.membership.registry import Registry
+from quartzford.membership.subset import Subset
+from quartzford.membership.watch import Watch
+from quartzford.settings.platform import Config
+
+if TYPE_CHECKING:
+    from quartzford.membership.snapshot_writer import SnapshotWriter
+
+LISTS_PER_S = 50.0  # what a list service is taken to bear where no operator has said
+
+
+class Follower(Protocol):
+    """A backend: it hears of the list before the engine does."""
+
+    def listed(self, listing: Listing) -> None:
+        """A list, or its changes, as whoever makes attempts is to see it."""
+
+
+class ControlSide:
+    """What a balancer knows and by which policy it learns it. Made by `assemble`, which sets the watch."""
+
+    watch: Watch
+
+    def __init__(
+        self, config: Config, engine: Engine, loop: asyncio.AbstractEventLoop, subset: Subset | None,
+        lists_per_s: float,
+    ) -> None:  # fmt: skip
+        self.config, self.engine, self.loop, self.subset = config, engine, loop, subset
+        self.clock, self.log = engine.clock, engine.log
+        self.lists_per_s = lists_per_s
+        self.asked = config.settings.asks_list  # one service for the whole fleet; else an agent's pushes
+        self.followers: list[Follower] = []
+        self.news = Queue()
+        self.registry = Registry()
+        self.told = asyncio.Event()  # the list's first news are adopted, or late
+        self.snapshot_writer: SnapshotWriter | None = None  # of the last list, where there is a lasting disk
+        self._as_kept: Listing | None = None  # the snapshot's list, where another is in force for its age
+
+    def policy(self, relays: Sequence[Address]) -> tuple[Calls, Addresses]:
+        """When calls are made and to whom, by the configuration. relays: asked in discovery's place."""
+        settings, now = self.config.settings, self.clock.now
+        one = Single(lambda: self.config.discovery)
+        if not self.asked:
+            own = random.Random(self.config.seed ^ 1)
+            return Agent(own, settings.rules.drain_grace_ms / 1000.0), one
+        host, port = self.config.listen
+        own = draws(self.config.name, f"{host}:{port}", self.config.seed)
+        most_wait = settings.rules.ask_every_ms / 1000.0
+        if not relays:
+            return Shared(settings.balancers, self.lists_per_s, most_wait, own, now), one
+        from quartzford.membership.relaycalls import RelayCalls  # only here: the platform's run has none
+
+        several = Relays(self.config.name, relays, one.address)
+        return RelayCalls(several, settings.balancers, self.lists_per_s, most_wait, own, now), several
+
+    # ---- start, reload, end
+
+    def begin(self, known: Listing, version: int | None = None, memory: io.Memory | None = None) -> None:
+        """Adopt what is known and follow the list from there.
+
+        memory: of the process before, which had the list known; it may be followed from this version.
+        """
+        if self.snapshot_writer is not None:
+            known = self._kept(self.snapshot_writer, known)
+        self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
+        if memory is None:
+            self.watch.version = known.version
+        else:
+            self.watch.version = version
+            self.engine.inherit(memory)
+        self.watch.start()
+
+    def _kept(self, writer: SnapshotWriter, known: Listing) -> Listing:
+        """The snapshot's list, where it is not older than what the configuration knows."""
+        writer.refresh_age()
+        kept = writer.read()
+        if kept is None or (known.entries and kept.listing.version < known.version):
+            return known
+        self._as_kept = kept.listing if kept.in_force is not kept.listing else None
+        return kept.in_force
+
+    def reconfigure(self, config: Config) -> None:
+        """A new configuration: what is in flight goes on, the list held stays until the next one."""
+        moved = config.discovery != self.config.discovery
+        self.config = config
+        self.engine.reconfigure(config.settings)
+        if isinstance(self.watch.calls, Shared):
+            most_wait = config.settings.rules.ask_every_ms / 1000.0
+            self.watch.calls.configure(config.settings.balancers, self.lists_per_s, most_wait)
+        elif isinstance(self.watch.calls, Agent):
+            self.watch.calls.configure(config.settings.rules.drain_grace_ms / 1000.0)
+        if moved:
+            self.watch.follow()
+
+    def stop(self) -> None:
+        """No more calls, and no more writes of the list."""
+        self.watch.stop()
+        if self.snapshot_writer is not None:
+            self.snapshot_writer.stop()
+
+    # ---- what the watch tells
+
+    def listed(self, listing: Listing) -> None:
+        """Short news at once; long ones in pieces, one a turn of the loop, and later ones behind them."""
+        taking = self.news.waiting()
+        as_kept, self._as_kept = self._as_kept, None
+        if as_kept is not None and not listing.whole:
+            # Changes to what was kept, not to what its age made of it.
+            self.news.put(as_kept if self.subset is None else self.subset.filter(as_kept))
+        self.news.put(listing if self.subset is None else self.subset.filter(listing))
+        if not taking:
+            self._take_in()
+
+    def _take_in(self) -> None:
+        piece = self.news.next(self.engine.balancer.servers)
+        if piece is None:
+            return
+        try:
+            self._adopt(piece, "whole" if piece.whole else "changes")
+        finally:
+            if self.news.waiting():
+                self.loop.call_soon(self._take_in)
+            else:
+                self.told.set()
+                if self.snapshot_writer is not None:
+                    self.snapshot_writer.list_changed()
+
+    def _adopt(self, listing: Listing, how: str) -> None:
+        self.registry.apply(listing)
+        masked = self.registry.masked(listing, self.engine.balancer.by_hand)
+        for follower in self.followers:
+            follower.listed(masked)
+        self.engine.listed(how, listing.entries)
+
+    # ---- what operators tell
+
+    def by_hand(self, name: str, out: bool) -> None:
+        """An upstream is taken out by an operator, or put back; nothing if it is so already."""
+        if out == (name in self.engine.balancer.by_hand):
+            return
+        self.engine.feed(io.ByHand(name, out))
+        for follower in self.followers:
+            follower.listed(self.registry.row_changes(name, out))
+        self.log.line("by hand", f"{name[:100]} {'out' if out else 'back in use'}")
+
+
+def assemble(
+    config: Config, loop: asyncio.AbstractEventLoop, clock: Clock, log: Log, subset: Subset | None = None,
+    lists_per_s: float = LISTS_PER_S, relays: Sequence[Address] = (),
+) -> ControlSide:  # fmt: skip
+    """A control side, complete, that has not begun.
+
+    lists_per_s: calls a second that a list service answers which a whole fleet asks. relays: are asked in
+    its place.
+    """
+    engine = Engine(config.settings, config.seed, clock, log)
+    side = ControlSide(config, engine, loop, subset, lists_per_s)
+    calls, addresses = side.policy(relays)
+    side.watch = Watch(side, addresses, calls, clock, log, loop)
+    engine.watch = side.watch.start
+    return side
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -1,29 +1,26 @@
-"""One balancer put together: an engine, the HTTP/1.1 front and backend, and the watch on the list."""
+"""One balancer put together: its control side, and the HTTP/1.1 front and backend."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
 import math
-import random
 import socket
 from collections import Counter
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from quartzford.backends.http1 import HttpBackend
+from quartzford.control import LISTS_PER_S as LISTS_PER_S
+from quartzford.control import assemble
 from quartzford.decision import interface as io
-from quartzford.engine import Budget, Engine, LoopClock, StderrLog
+from quartzford.engine import Budget, LoopClock, StderrLog
 from quartzford.fronts.http1 import HttpFront
 from quartzford.fronts.operations import OperationsFront
-from quartzford.membership.addresses import Address, Addresses, Relays, Single
-from quartzford.membership.calls import Agent, Calls, Shared, draws
+from quartzford.membership.addresses import Address
 from quartzford.membership.listing import Listing, read_listing
-from quartzford.membership.pieces import Queue
-from quartzford.membership.registry import Registry
 from quartzford.membership.subset import Subset
-from quartzford.membership.watch import Watch
 from quartzford.settings.platform import Config, ConfigError
 
 if TYPE_CHECKING:
@@ -37,7 +34,6 @@
 CLIENT_SHARE = 0.5  # a request open at a client needs a descriptor upstream too, and may hold a third here
 SWEEP_S = 0.25
 LISTED_S = 1.0
-LISTS_PER_S = 50.0  # what a list service is taken to bear where no operator has said
 NEW_CLIENTS_S = 0.6
 KILL_S = (
     3.0,
@@ -50,12 +46,6 @@
 BIND_S = 5.0  # the address may still be held by the process that went before
 
 
-class Follower(Protocol):
-    """A backend: it hears of the list before the engine does."""
-
-    def listed(self, listing: Listing) -> None: ...
-
-
 class Node:
     """One balancer on sockets: start, reload, housekeeping and end of its parts."""
 
@@ -68,15 +58,16 @@
         lists_per_s: calls a second that a list service answers which a whole fleet asks.
         relays: are asked in its place.
         """
-        self.loop, self.subset = loop, subset
+        self.loop = loop
         self.clock = clock = LoopClock(loop)
         self.log = StderrLog(clock.now)
         self.budget = Budget(0)
-        self.engine = Engine(config.settings, config.seed, clock, self.log)
+        self.control = control = assemble(config, loop, clock, self.log, subset, lists_per_s, relays)
+        self.engine, self.watch = control.engine, control.watch
+        self.registry, self.news, self.told = control.registry, control.news, control.told
         self.pool = HttpBackend(self.engine, self.budget, clock, loop)
-        self.followers: list[Follower] = [self.pool]
-        self.news = Queue()
-        self.registry = Registry()
+        self.followers = control.followers
+        self.followers.append(self.pool)
         self.operations = OperationsFront(self, clock)
         self.front = HttpFront(self.engine, self.pool, self.budget, clock, self.ready)
         self.ending = False
@@ -90,26 +81,40 @@
             path = place(str(Path(folder).resolve()), config.name, config.listen)
             self.succession = Succession(self, path, clock, self.log, loop)
         self._configure(config)
-        self.asked = config.settings.asks_list  # one service for the whole fleet; else an agent's pushes
-        self.lists_per_s = lists_per_s
-        calls, addresses = self._calls(config, relays)
-        self.watch = Watch(self, addresses, calls, clock, self.log, loop)
-        self.engine.watch = self.watch.start
         self.draining_since = math.inf
         self.finished = loop.create_future()
         self.ready_at = clock.now() + LISTED_S
-        self.told = asyncio.Event()  # the list's first news are adopted, or late
         self._begun = False
         self._listener: socket.socket | None = None  # the process before's
         self._memory: io.Memory | None = None  # the process before's, until the list is adopted
         self._version: int | None = None  # of its list, where it may be followed from there
-        self.snapshot_writer: SnapshotWriter | None = None  # of the last list, where there is a lasting disk
-        self._as_kept: Listing | None = None  # the snapshot's list, where another is in force for its age
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self.control.config
+
+    @property
+    def subset(self) -> Subset | None:
+        """Which upstreams of the list are used, where not all are."""
+        return self.control.subset
+
+    @subset.setter
+    def subset(self, subset: Subset | None) -> None:
+        self.control.subset = subset
+
+    @property
+    def snapshot_writer(self) -> SnapshotWriter | None:
+        """Keeps the last list on a lasting disk."""
+        return self.control.snapshot_writer
+
+    @snapshot_writer.setter
+    def snapshot_writer(self, writer: SnapshotWriter | None) -> None:
+        self.control.snapshot_writer = writer
 
     # ---- start and end
 
     def _configure(self, config: Config) -> None:
-        self.config = config
         spare = max(16, config.descriptors - BASE_DESCRIPTORS)
         clients = int(CLIENT_SHARE * spare)
         upstream = spare - clients
@@ -121,36 +126,13 @@
         self.front.most = clients
         self.pool.configure(upstream, config.idle_ms, config.connect_ms, config.report_names)
 
-    def _calls(self, config: Config, relays: Sequence[Address]) -> tuple[Calls, Addresses]:
-        one = Single(lambda: self.config.discovery)
-        if not self.asked:
-            return Agent(random.Random(config.seed ^ 1), config.settings.rules.drain_grace_ms / 1000.0), one
-        host, port = config.listen
-        own = draws(config.name, f"{host}:{port}", config.seed)
-        most_wait = config.settings.rules.ask_every_ms / 1000.0
-        balancers, now = config.settings.balancers, self.clock.now
-        if not relays:
-            return Shared(balancers, self.lists_per_s, most_wait, own, now), one
-        from quartzford.membership.relaycalls import RelayCalls  # only here: the platform's run has none
-
-        several = Relays(config.name, relays, one.address)
-        return RelayCalls(several, balancers, self.lists_per_s, most_wait, own, now), several
-
     def reconfigure(self, config: Config) -> None:
         """A new configuration, under load: what is in flight goes on, the list held stays until the next one.
 
         The address for clients, the seed and the way to discovery (pushed or asked) take a restart.
         """
-        moved = config.discovery != self.config.discovery
         self._configure(config)
-        self.engine.reconfigure(config.settings)
-        if isinstance(self.watch.calls, Shared):
-            most_wait = config.settings.rules.ask_every_ms / 1000.0
-            self.watch.calls.configure(config.settings.balancers, self.lists_per_s, most_wait)
-        elif isinstance(self.watch.calls, Agent):
-            self.watch.calls.configure(config.settings.rules.drain_grace_ms / 1000.0)
-        if moved:
-            self.watch.follow()
+        self.control.reconfigure(config)
 
     async def start(self) -> None:
         try:
@@ -177,38 +159,21 @@
         before come as soon as the address listens: the list as last had may name servers that drain since.
         """
         self._begun = True
-        inherited = False
         if self.succession is not None:
             known, self._listener = await self._inherit(self.succession, known)
-            inherited = self._memory is not None
-        if self.snapshot_writer is not None:
-            known = self._kept(self.snapshot_writer, known)
-        self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
-        self.watch.version = self._version if inherited else known.version
-        if self._memory is not None:
-            self.engine.inherit(self._memory)
-            self._memory = None
-        self.watch.start()
+        self.control.begin(known, self._version, self._memory)
+        self._memory = None
         # Requests in the queue of a listener that stands count as taken: they can't wait, and the process
         # before served by the same list.
-        if not self.asked and self._listener is None:
+        if not self.control.asked and self._listener is None:
             self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
             await self.told.wait()
 
-    def _kept(self, writer: SnapshotWriter, known: Listing) -> Listing:
-        """The snapshot's list, where it is not older than what the configuration knows."""
-        writer.refresh_age()
-        kept = writer.read()
-        if kept is None or (known.entries and kept.listing.version < known.version):
-            return known
-        self._as_kept = kept.listing if kept.in_force is not kept.listing else None
-        return kept.in_force
-
     def ready(self) -> bool:
         """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
         if self.ending:
             return False
-        told = self.watch.heard or self.asked or self.clock.now() >= self.ready_at
+        told = self.watch.heard or self.control.asked or self.clock.now() >= self.ready_at
         return told and any(u.ready for u in self.pool.upstreams.values())
 
     def terminate(self) -> None:
@@ -241,10 +206,8 @@
             self.engine.end_all()
         quiet = not self.front.clients and not self.front.accepting  # taken back, more may come for a moment
         if quiet or self.clock.now() >= limit:
-            self.watch.stop()
+            self.control.stop()
             self.operations.stop()
-            if self.snapshot_writer is not None:
-                self.snapshot_writer.stop()
             if self.succession is not None:
                 self.succession.stop()
             if not self.finished.done():
@@ -315,66 +278,23 @@
         self.loop.create_task(self.front.adopt(sock))
 
     def told_by_hand(self, name: str, out: bool) -> None:
-        self._by_hand(name, out)
+        self.control.by_hand(name, out)
 
     def alone(self) -> None:
         self.busy_before = 0
         self._configure(self.config)
 
-    # ---- what the watch tells
-
-    def listed(self, listing: Listing) -> None:
-        """Short news at once; long ones in pieces, one a turn of the loop, and later ones behind them."""
-        taking = self.news.waiting()
-        as_kept, self._as_kept = self._as_kept, None
-        if (
-            as_kept is not None and not listing.whole
-        ):  # changes to what was kept, not to what its age made of it
-            self.news.put(as_kept if self.subset is None else self.subset.filter(as_kept))
-        self.news.put(listing if self.subset is None else self.subset.filter(listing))
-        if not taking:
-            self._take_in()
-
-    def _take_in(self) -> None:
-        piece = self.news.next(self.engine.balancer.servers)
-        if piece is None:
-            return
-        try:
-            self._adopt(piece, "whole" if piece.whole else "changes")
-        finally:
-            if self.news.waiting():
-                self.loop.call_soon(self._take_in)
-            else:
-                self.told.set()
-                if self.snapshot_writer is not None:
-                    self.snapshot_writer.list_changed()
-
-    def _adopt(self, listing: Listing, how: str) -> None:
-        self.registry.apply(listing)
-        masked = self.registry.masked(listing, self.engine.balancer.by_hand)
-        for follower in self.followers:
-            follower.listed(masked)
-        self.engine.listed(how, listing.entries)
-
     # ---- what operators ask and tell
 
     def by_hand(self, name: str, out: bool) -> bool:
         balancer = self.engine.balancer
         if name not in balancer.servers and name not in balancer.by_hand:
             return False
-        self._by_hand(name, out)
+        self.control.by_hand(name, out)
         if self.succession is not None:
             self.succession.by_hand(name, out, balancer.by_hand)
         return True
 
-    def _by_hand(self, name: str, out: bool) -> None:
-        if out == (name in self.engine.balancer.by_hand):
-            return
-        self.engine.feed(io.ByHand(name, out))
-        for follower in self.followers:
-            follower.listed(self.registry.row_changes(name, out))
-        self.log.line("by hand", f"{name[:100]} {'out' if out else 'back in use'}")
-
     def figures(self, prefix: str) -> str:
         balancer, engine = self.engine.balancer, self.engine
         gauges = (
