Ready is not said before the address for clients listens

Saw: test_a_successor_that_dies_or_can_t_start failed once: connection refused right after /status on the second address had said yes. Cause: Node.ready looked at the list and the upstreams alone; Node.start listens for operators first, and front.listen comes after the list is heard, some milliseconds in which the platform is told that it may send. Change: ready is said once front.listen has returned.

--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -85,6 +85,7 @@
         self.finished = loop.create_future()
         self.ready_at = clock.now() + LISTED_S
         self._begun = False
+        self._listened = False  # the address takes clients, of this process or of the one before
         self._listener: socket.socket | None = None  # the process before's
         self._memory: io.Memory | None = None  # the process before's, until the list is adopted
         self._version: int | None = None  # of its list, where it may be followed from there
@@ -146,6 +147,7 @@
         if self.ending:
             return
         await self.front.listen(self.config.listen, self.loop, self.config.admin is not None, self._listener)
+        self._listened = True
         if self.succession is not None:
             self.succession.serves()
         self.clock.call_later(SUMMARY_S, self._summary)
@@ -170,8 +172,8 @@
             await self.told.wait()
 
     def ready(self) -> bool:
-        """Requests can be served: news of the list has come, or is late, and it names a ready upstream."""
-        if self.ending:
+        """Requests can be served: the address listens, the list is heard or late, an upstream is ready."""
+        if self.ending or not self._listened:
             return False
         told = self.watch.heard or self.control.asked or self.clock.now() >= self.ready_at
         return told and any(u.ready for u in self.pool.upstreams.values())
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,6 +11,7 @@
 from peers import Message, World, read_message, reply, request, run, until
 
 from quartzford.decision import interface as io
+from quartzford.fronts.http1 import HttpFront
 from quartzford.protocols.onecall import BODY_BYTES, HEAD_BYTES, OneCall, Reader
 
 PUT = b"PUT /maintenance/enter HTTP/1.1\r\nHost: a\r\n"
@@ -280,3 +281,25 @@
         world.node.budget.used -= world.node.budget.limit
         gate.set()
         await asyncio.gather(*asking)
+
+
+@run
+async def test_ready_is_not_said_before_clients_can_connect() -> None:
+    """The list is heard, and the address for clients does not listen yet."""
+    world, goes_on, accept = Watched(1), asyncio.Event(), HttpFront._accept
+    status = b"GET /status HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def held_up(front: HttpFront, listener: socket.socket) -> None:
+        await goes_on.wait()
+        await accept(front, listener)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(HttpFront, "_accept", held_up)
+        starting = asyncio.ensure_future(world.__aenter__())
+        await until(lambda: hasattr(world, "node") and world.node.front.accepting)
+        assert world.node.watch.heard
+        assert (await call(world, status)).status == 503
+        goes_on.set()
+        await starting
+    assert (await call(world, status)).status == 200
+    await world.__aexit__()
