--- a/rig/clients.py
+++ b/rig/clients.py
@@ -14,6 +14,7 @@
 import signal
 import sys
 from bisect import bisect
+from collections import Counter
 from collections.abc import Iterator
 from itertools import accumulate
 from time import monotonic
@@ -21,7 +22,7 @@
 
 import uvloop
 
-from quartzford.load.clients import BRIEF, UNREACHABLE, Manners, patience_s
+from quartzford.load.clients import BRIEF, SERVED, UNREACHABLE, Manners, patience_s
 from quartzford.load.driver import Driver, Due, Job, Link, Target, Try
 from quartzford.load.record import Record, figures
 
@@ -126,12 +127,26 @@
         super().connection_lost(error)
 
 
+class Timed(Record):
+    """A record that also counts, by the second, requests that were not served."""
+
+    def __init__(self) -> None:
+        super().__init__(BRIEF)
+        self.unserved: dict[int, Counter[str]] = {}
+
+    def ended(self, name: str, tenant: str, end: str, second: int, latency_s: float) -> None:
+        """A request has come to its end."""
+        super().ended(name, tenant, end, second, latency_s)
+        if end != SERVED:
+            self.unserved.setdefault(second, Counter())[end] += 1
+
+
 class Crowd(Driver):
     """A driver whose requests go where the front says."""
 
     def __init__(self, front: Front, manners: Manners, plan: Iterator[Due], start: float, seed: int) -> None:
         self.front = front
-        record = Record(BRIEF)
+        self.timed = record = Timed()
         record.book = []
         super().__init__(Target("fleet", 80), manners, plan, start, seed, "c", record)
         self.rest = Rest(len(front.targets))
@@ -218,6 +233,7 @@
         "lost": [[identity, *row] for identity, row in driver.at.items()],
         "ends": dict(record.ends), "latency_ms": figures(record.whole(record.latency)),
         "late_ms": figures(record.late), "goodput": record.goodput(), "seconds": record.seconds(),
+        "steps": record.by_second, "unserved": driver.timed.unserved,
     }  # fmt: skip
     print(json.dumps(result), flush=True)
 
--- a/rig/gate.py
+++ b/rig/gate.py
@@ -19,6 +19,8 @@
         importlib.import_module("quartzford.serve")
     if os.environ.get("QUARTZFORD_COUNTS_S"):
         importlib.import_module("quartzford.counting")
+    if os.environ.get("QUARTZFORD_RIG_METER"):
+        importlib.import_module("rig.meter").install_to_file(os.environ["QUARTZFORD_RIG_METER"])
     sys.stdout.write("ready\n")
     sys.stdout.flush()
     if not sys.stdin.readline():
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -170,16 +170,20 @@
 
     def _fault_proxy(self) -> None:
         """Every balancer's own way to the list service, under its own address there."""
-        rows: list[Any] = [
-            [f"nodes[{n}]", "lists[0]", "tcp", [address(n), 0], ["127.0.0.1", self.service_port], address(n)]
-            for n in range(self.scenario.balancers)
-        ]
+        rows = self._links()
         self.proxy = self._helper("rig.fault_proxy")
         plan = {"script": self.scenario.faults, "groups": self.groups, "seed": self.scenario.seed}
         self._tell(self.proxy, plan | {"links": rows})
         self.proxy_ports = json.loads(self.proxy.stdout.readline())["ports"]
         self.touched = sum(self.script.touches(Link(row[0], row[1])) for row in rows)
 
+    def _links(self) -> list[Any]:
+        service = ["127.0.0.1", self.service_port]
+        return [
+            [f"nodes[{n}]", "lists[0]", "tcp", [address(n), 0], service, address(n)]
+            for n in range(self.scenario.balancers)
+        ]
+
     def _config(self, number: int, life: int = 0) -> dict[str, Any]:
         scenario = self.scenario
         table = config(0, 0, self._known())
@@ -217,17 +221,23 @@
 
     def _clients(self) -> None:
         scenario, rng = self.scenario, random.Random(self.scenario.seed)
-        rows = [
-            [address(n), self.ports[n], rng.lognormvariate(0.0, scenario.weights)]
-            for n in range(scenario.balancers)
-        ]
+        rows = [[address(n), self.ports[n], self._weight(n, rng)] for n in range(scenario.balancers)]
         self.clients = self._helper("rig.clients")
         plan = {"balancers": rows, "rate": scenario.rate, "seconds": scenario.seconds, "seed": scenario.seed}
         self._tell(self.clients, plan)
         self.clients.stdout.readline()
 
+    def _weight(self, number: int, rng: random.Random) -> float:
+        """A balancer's part of the clients' requests."""
+        return rng.lognormvariate(0.0, self.scenario.weights)
+
     # ---- playing
 
+    def _begin(self, at: float) -> None:
+        """Tell all helpers when the release is."""
+        for process in (self.service, self.proxy, self.clients):
+            self._tell(process, {"begin": at})
+
     def _release(self) -> None:
         begin = time.monotonic() + SETTLE_S
         if self.scenario.nodos.get("trouble"):  # its times count from here, a moment before the release
@@ -238,8 +248,7 @@
             self.upstreams.stdin.flush()
             self.hosts = self._reborn()
             self._tell(self.service, {"hosts": self._rows()})
-        for process in (self.service, self.proxy, self.clients):
-            self._tell(process, {"begin": begin})
+        self._begin(begin)
         time.sleep(max(0.0, begin - time.monotonic()))
         self.began = begin
         self.processes.release()
--- a/standins/listservice.py
+++ b/standins/listservice.py
@@ -3,8 +3,10 @@
     python -m standins.listservice '{"per_s": 50, "line": "queues", ...}'
 
 prints {"port": N} and then takes lines of JSON on standard input: {"hosts": [...]} is the list from now on
-(told to every watch), {"begin": T} the release on the machine's monotonic clock, from which the spans of the
-plan count. GET /books gives what it saw; SIGTERM ends it.
+(told to every watch), {"change": [...]} rows that are new, changed or gone (health "gone"), {"begin": T} the
+release on the machine's monotonic clock, from which the spans of the plan count, {"down": S} that it is down
+from now on for so many seconds. {"count": 1} asks for a line of counts by the first half of the callers'
+addresses. GET /books gives what it saw; SIGTERM ends it.
 
 It speaks the platform's discovery (GET /catalog/members, with stream=1&index=N a watch). Calls are worked
 through one at a time, `per_s` a second, each as long as its bytes take besides. What waits there goes on
@@ -18,7 +20,7 @@
 import json
 import signal
 import sys
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any, cast
@@ -75,6 +77,9 @@
         self.answers: list[list[Any]] = []  # when, who, how: answered, turned away, for nobody
         self.bytes = 0
         self.encoded_whole: tuple[int, bytes] = 0, b""  # the whole list's text, and of which version
+        self.encoded_changes: dict[int, bytes] = {}  # texts of changes, by the version that they follow
+        self.sent: Counter[str] = Counter()  # bytes of answers and changes, by half of who was told
+        self.lines: Counter[str] = Counter()  # lists and changes told, likewise
 
     async def start(self) -> None:
         """Listen at the plan's address; the port stays the same after a death."""
@@ -108,6 +113,7 @@
         if self.server is None:
             if self.plan.back:
                 self.version, self.changed_at, self.removed = 1, dict.fromkeys(self.rows, 1), {}
+                self.encoded_changes.clear()
             asyncio.ensure_future(self.start())
 
     def mute(self) -> bool:
@@ -120,6 +126,7 @@
     def replace_list(self, hosts: list[dict[str, Any]]) -> None:
         """The list as it is from now on; watches hear what has changed."""
         self.version += 1
+        self.encoded_changes.clear()
         names = {row["host"] for row in hosts}
         for name in [name for name in self.rows if name not in names]:
             self.removed[name] = self.version, self.rows.pop(name) | {"health": "gone"}
@@ -127,6 +134,24 @@
             if self.rows.get(row["host"]) != row:
                 self.rows[row["host"]], self.changed_at[row["host"]] = row, self.version
                 self.removed.pop(row["host"], None)
+        self._send_to_all()
+
+    def change_rows(self, rows: list[dict[str, Any]]) -> None:
+        """Single rows of the list, at a cost that does not grow with the list."""
+        self.version += 1
+        for row in rows:
+            name = row["host"]
+            if row["health"] == "gone":
+                self.rows.pop(name, None)
+                self.changed_at.pop(name, None)
+                self.removed[name] = self.version, row
+            else:
+                self.rows[name], self.changed_at[name] = row, self.version
+                self.removed.pop(name, None)
+        self.encoded_changes = {self.version - 1: self._encode(False, rows)}
+        self._send_to_all()
+
+    def _send_to_all(self) -> None:
         for watch in list(self.watches):
             self.send_changes(watch, self.version - 1)
 
@@ -136,8 +161,11 @@
             if self.encoded_whole[0] != self.version:
                 self.encoded_whole = self.version, self._encode(True, list(self.rows.values()))
             return self.encoded_whole[1]
-        rows = [row for name, row in self.rows.items() if self.changed_at[name] > since]
-        return self._encode(False, rows + [row for at, row in self.removed.values() if at > since])
+        if since not in self.encoded_changes:
+            rows = [row for name, row in self.rows.items() if self.changed_at[name] > since]
+            rows += [row for at, row in self.removed.values() if at > since]
+            self.encoded_changes[since] = self._encode(False, rows)
+        return self.encoded_changes[since]
 
     def _encode(self, whole: bool, rows: list[dict[str, Any]]) -> bytes:
         return json.dumps({"seq": self.version, "whole": whole, "hosts": rows}).encode() + b"\n"
@@ -145,9 +173,14 @@
     def send_changes(self, watch: Connection, since: int | None) -> None:
         """Write what changed after a version to a watch, as one chunk."""
         text = self.encoded(since)
-        self.bytes += len(text)
+        self._count(watch, text)
         watch.transport.write(b"%x\r\n%b\r\n" % (len(text), text))
 
+    def _count(self, connection: Connection, text: bytes) -> None:
+        self.bytes += len(text)
+        self.sent[connection.role] += len(text)
+        self.lines[connection.role] += 1
+
     # ---- calls
 
     def accept(self, connection: Connection) -> None:
@@ -175,7 +208,7 @@
             return
         self.busy = True
         connection = self.queue.popleft()
-        text = self.encoded(connection.since)
+        text, connection.version = self.encoded(connection.since), self.version
         took = 1.0 / self.plan.per_s + len(text) / self.plan.bytes_per_s
         asyncio.get_running_loop().call_later(took, self.finish, connection, text)
 
@@ -194,7 +227,7 @@
             loop.call_later(0.02 + self.plan.dead_s, self._start_again)
             return
         if not gone:
-            self.bytes += len(text)
+            self._count(connection, text)
             connection.answer(text)
         self.serve_next()
 
@@ -205,6 +238,16 @@
             "watches": len(self.watches), "version": self.version,
         }  # fmt: skip
 
+    def counts(self) -> dict[str, Any]:
+        """Bytes, calls and lines told so far, by the first two numbers of callers' addresses."""
+        calls = Counter(half(peer) for _, peer, _ in self.calls)
+        return {"bytes": self.sent, "calls": calls, "lines": self.lines, "watches": len(self.watches)}
+
+
+def half(address: str) -> str:
+    """The first two numbers of an address: which role it has."""
+    return ".".join(address.split(".")[:2])
+
 
 class Connection(asyncio.Protocol):
     """One connection."""
@@ -214,14 +257,16 @@
     def __init__(self, service: Service) -> None:
         self.service = service
         self.data = b""
-        self.peer = ""
+        self.peer = self.role = ""
         self.since: int | None = None
         self.request_read = False
+        self.version = 0  # of the answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and note the address that it is from."""
         self.transport = cast(asyncio.Transport, transport)
         self.peer = transport.get_extra_info("peername")[0]
+        self.role = half(self.peer)
         self.service.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -263,6 +308,8 @@
         self.transport.write(piece if self.since is None else b"%x\r\n%b\r\n" % (len(piece), piece))
         if last and self.since is not None:
             self.service.watches.add(self)
+            if self.version != self.service.version:  # changed while the answer was under way
+                self.service.send_changes(self, self.version)
             self._beat()
 
     def _beat(self) -> None:
@@ -281,6 +328,13 @@
         command = json.loads(line)
         if "hosts" in command:
             service.replace_list(command["hosts"])
+        if "change" in command:
+            service.change_rows(command["change"])
+        if "count" in command:
+            print(json.dumps(service.counts()), flush=True)
+        if "down" in command:
+            service.stop()
+            asyncio.get_running_loop().call_later(command["down"], service._start_again)
         if "begin" in command:
             service.begin(command["begin"])
 
