bench.scale: real balancers under load beside hollow ones, by event and role

What the design carries at thousands of balancers was worked out, never run. A scale run starts hollow balancers, real ones under load, one list service at fifty calls a second and, where the program has them, relays; starts, replacements, racks, zones, a service down, relays killed and balancers cut off are measured by role: calls, bytes, processor time, time until in force, requests. One hollow balancer has a process of its own, so that a process's cost is told from a balancer's. Sizes that the machine can't bear are refused with the bound.

--- /dev/null
+++ b/bench/scale.py
@@ -0,0 +1,264 @@
+"""Scale runs: python -m bench.scale [--quick | --small] [--only NAME ...] [--json FILE]
+
+Real balancers under load beside hollow ones, before (each asks the list service itself) and after (relays of
+lists between), with a list service that works through fifty calls a second. Sizes: --small 4 real and 40
+hollow, --quick 20 and 200, 20 and 1,000, else 20 and 4,600 too, and 418 behind one relay with 63,000 rows.
+Prints a line of JSON for each event and the verdict by the bounds that the operators set; exit 0 only if all
+were kept. Where the program has no relays yet, before alone is played.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib.util
+import json
+import math
+import sys
+import time
+from dataclasses import replace
+from typing import Any, NamedTuple
+
+from bench.common import report
+from bench.scale_events import Books
+from rig.hollow import SHARES
+from rig.scale import RACK, Moment, ScalePlan, play_scale
+from rig.scenario import TooManyError
+
+PER_S = 50.0
+P99_S, LAST_S = 2.0, 5.75  # from a change to in force
+START_S = 10.0  # until all have the list
+CALLS_A_RELAY = 1.3
+KILLED_S, KILLED_BYTES = 6.0, 1.1
+WAIT_S, RELAY_MB = 1.0, 512.0  # behind whole lists of 63,000 rows
+AGREE = 0.15
+RELAYS = 11
+OWN_MODULES = 1_000  # so many hollow balancers have a module each; more share it by process
+LONG_ROWS, LONG_HOLLOW = 63_000, 418
+
+
+class Size(NamedTuple):
+    """A size, and how long its service is down."""
+
+    name: str
+    real: int
+    hollow: int
+    down_s: float
+    relays: int = RELAYS
+    hollow_processes: int = 4
+    cut: bool = False
+
+
+SMALL = (Size("small", 4, 40, 3.0, 2, 1),)
+QUICK = (Size("200", 20, 200, 8.0), Size("1000", 20, 1_000, 8.0))
+FULL = (*QUICK, Size("4600", 20, 4_600, 30.0, hollow_processes=8, cut=True))
+
+
+def moments(size: Size, rows: int, relays: int, window: float = 6.0) -> tuple[Moment, ...]:
+    """The events in their order, each behind the one before."""
+    lap = 0.0 if relays else 1.25 * (size.real + size.hollow) / PER_S
+    zone = max(1, rows // 15)
+    listed = [
+        Moment(0.0, "all start", window=START_S + lap),
+        Moment(0.0, "quiet"),
+        Moment(0.0, "one upstream goes", "change", rows=1, gone=True),
+        Moment(0.0, "one upstream is replaced", "change", rows=1),
+        Moment(0.0, "a rack goes", "change", rows=min(RACK, rows), gone=True),
+        Moment(0.0, "a rack is back", "change", rows=min(RACK, rows)),
+        Moment(0.0, "a zone goes", "change", rows=zone, first=rows // 3, gone=True),
+        Moment(0.0, "a zone is back", "change", rows=zone, first=rows // 3),
+        Moment(0.0, "the source is down", "down", window=size.down_s + 8.0 + lap, span=size.down_s),
+    ]
+    if relays:
+        listed.append(Moment(0.0, "one relay killed", "kill", window=8.0, rows=RACK, count=1))
+    if relays > 4:
+        listed.append(Moment(0.0, "three relays killed", "kill", window=8.0, rows=RACK, count=3))
+    if size.cut:
+        listed.append(Moment(0.0, "a third cut off", "cut", window=68.0 + lap, span=60.0))
+    placed, at = [], 0.0
+    for one in listed:
+        span = window if one.what in ("change", "quiet") and one.window == 6.0 else one.window
+        placed.append(replace(one, at=at, window=math.ceil(span)))
+        at += math.ceil(span)
+    return tuple(placed)
+
+
+def plan_of(size: Size, after: bool, seed: int, share: str = "", rows: int = 2_000) -> ScalePlan:
+    """A run of one size, with relays or without."""
+    events = moments(size, rows, size.relays if after else 0, 3.0 if size.name == "small" else 6.0)
+    chosen = share or ("rows" if size.hollow <= OWN_MODULES else "module")
+    return ScalePlan(
+        size.real, size.hollow, events, size.relays if after else 0, rows, share=chosen,
+        idle=max(1, size.real // 5), hollow_processes=size.hollow_processes, rate=8.0 * size.real,
+        seconds=events[-1].at + events[-1].window, per_s=PER_S, seed=seed,
+    )  # fmt: skip
+
+
+def long_plan(seed: int) -> ScalePlan:
+    """418 hollow balancers behind one relay, a list of 63,000 rows, and changes while it goes out."""
+    events = (
+        Moment(0.0, "all start, a change a second", "drip", window=40.0, span=1.0),
+        Moment(40.0, "quiet", window=8.0),
+    )
+    return ScalePlan(
+        2, LONG_HOLLOW, events, 1, LONG_ROWS, share="module", idle=1, hollow_processes=4, rate=4.0,
+        seconds=48.0, per_s=PER_S, seed=seed,
+    )  # fmt: skip
+
+
+# ---- the verdict
+
+
+class Check(NamedTuple):
+    """A bound and what was measured."""
+
+    what: str
+    measured: float
+    bound: float
+    timed: bool = True  # by a clock, not a count
+
+    def kept(self) -> bool:
+        """Within the bound."""
+        return self.measured <= self.bound
+
+
+def checks(run: dict[str, Any]) -> list[Check]:
+    """The operators' bounds on one run; times and calls of a run without relays are not held to them."""
+    found = [
+        Check("rules broken", sum(run["rules"].values()), 0, False),
+        Check("processes that ended unasked", len(run["crashes"]), 0, False),
+    ]
+    for event in run["events"]:
+        found += _of_all(event)
+        if run["relays"]:
+            found += _of_relays(event, run["relays"])
+    return found
+
+
+def _of_all(event: dict[str, Any]) -> list[Check]:
+    name = event["event"]
+    missing = event["hollow"]["missing"] + event["real"]["missing"]
+    lost = dict(event["requests"]["unserved"])
+    if name.startswith("all start"):
+        lost.pop("unreachable", 0)  # nobody serves before the first has started
+    return [
+        Check(f"{name}: balancers that never had it", missing, 0, False),
+        Check(f"{name}: requests not served", sum(lost.values()), 0, False),
+    ]
+
+
+def _of_relays(event: dict[str, Any], relays: int) -> list[Check]:
+    name, source = event["event"], event["source"]
+    found = [Check(f"{name}: balancers' calls at the source", source["calls"]["balancers"], 0, False)]
+    both = [event["hollow"], event["real"]]
+    p99, last = max(one["p99_s"] for one in both), max(one["last_s"] for one in both)
+    if event["what"] == "change":
+        found += [Check(f"{name}: p99", p99, P99_S), Check(f"{name}: last", last, LAST_S)]
+    if name == "all start":
+        found.append(Check(f"{name}: all have the list", last, START_S))
+        found.append(
+            Check(f"{name}: calls a relay", source["calls"]["relays"] / relays, CALLS_A_RELAY, False)
+        )
+    if event["what"] == "down":
+        calls = source["calls_after_return"]["relays"] / relays
+        found.append(Check(f"{name}: calls a relay at its return", calls, 1.0, False))
+        found.append(Check(f"{name}: last after its return", last, LAST_S))
+    if event["what"] == "kill":
+        found.append(Check(f"{name}: all told again", last, KILLED_S))
+        found.append(Check(f"{name}: bytes over the change", event["bytes_over_change"], KILLED_BYTES))
+    if event["what"] == "drip":
+        found.append(Check(f"{name}: wait behind whole lists", event["hollow_heard"]["last_s"], WAIT_S))
+        found.append(Check(f"{name}: MB of the relay", event["relay_peak_mb"], RELAY_MB, False))
+    return found
+
+
+def differences(run: dict[str, Any]) -> list[str]:
+    """Where hollow and real differ by more than they may."""
+    return [
+        f"{name}: hollow {one['hollow']:g}, real {one['real']:g}"
+        for name, one in run["agreement"].items()
+        if one["ratio"] is None and one["hollow"] or one["ratio"] and abs(one["ratio"] - 1.0) > AGREE
+    ]
+
+
+def show(run: dict[str, Any]) -> None:
+    """Events and agreement as lines of JSON."""
+    for event in run["events"]:
+        print("    " + json.dumps(event), flush=True)
+    print("    agreement " + json.dumps(run["agreement"]), flush=True)
+    if run["share"] in SHARES:
+        print(f"    shared by hollow ones: {run['share']}: {SHARES[run['share']]}", flush=True)
+
+
+def played(name: str, plan: ScalePlan) -> dict[str, Any] | None:
+    """One run and its lines; None where the machine can't bear it."""
+    print(
+        f"  {name}: {plan.real} real, {plan.hollow} hollow, {plan.relays} relays, {plan.rows} rows",
+        flush=True,
+    )
+    began = time.monotonic()
+    try:
+        result = play_scale(plan)
+    except TooManyError as error:
+        print(f"    not run: {error}", flush=True)
+        return None
+    run = {"run": name, "hides": SHARES[plan.share], **Books(result).summary()}
+    run["took_s"] = round(time.monotonic() - began, 1)
+    show(run)
+    return run
+
+
+def has_relays() -> bool:
+    """Whether this program has the relay."""
+    return importlib.util.find_spec("quartzford.relay") is not None
+
+
+def runs(options: argparse.Namespace) -> list[tuple[str, ScalePlan]]:
+    """What is to be played, by name."""
+    sizes = SMALL if options.small else QUICK if options.quick else FULL
+    kinds = [False, True] if has_relays() else [False]
+    listed = [
+        (f"{size.name} {'after' if after else 'before'}", plan_of(size, after, options.seed, options.share))
+        for size in sizes for after in kinds
+    ]  # fmt: skip
+    if has_relays() and not (options.small or options.quick):
+        listed.append(("63000 rows", long_plan(options.seed)))
+    return [(name, plan) for name, plan in listed if not options.only or name in options.only]
+
+
+def verdict(found: list[dict[str, Any]]) -> bool:
+    """Print what was not kept; whether all was."""
+    good = True
+    for run in found:
+        failed = [check for check in checks(run) if not check.kept()]
+        for check in failed:
+            print(f"  {run['run']}: NOT KEPT {check.what}: {check.measured:g}, bound {check.bound:g}")
+        for text in differences(run):
+            print(f"  {run['run']}: hollow and real differ by over {AGREE:.0%}: {text}")
+        good = good and not failed
+    return good
+
+
+def main() -> int:
+    """The command line."""
+    parser = argparse.ArgumentParser(prog="python -m bench.scale")
+    parser.add_argument("--quick", action="store_true", help="20 real beside 200 and 1,000 hollow")
+    parser.add_argument("--small", action="store_true", help="4 real beside 40 hollow")
+    parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--only", nargs="*", default=[], metavar="RUN", help="such as '200 after'")
+    parser.add_argument("--share", choices=SHARES, default="", help="what hollow ones share")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    chosen = runs(options)
+    found = [run for name, plan in chosen if (run := played(name, plan)) is not None]
+    if not has_relays():
+        print("  this program has no relays: before alone")
+    for run in found:
+        run["checks"] = [check._asdict() | {"kept": check.kept()} for check in checks(run)]
+    report({"per_s": PER_S, "seed": options.seed, "runs": found}, options.json)
+    good = verdict(found)
+    print(f"scale: {len(found)} of {len(chosen)} runs, bounds {'kept' if good else 'NOT KEPT'}")
+    return 0 if good and len(found) == len(chosen) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rig/scale.py
@@ -0,0 +1,340 @@
+"""A scale run: real balancers under load beside hollow ones, one list service, relays or none, and events.
+
+    result = play_scale(ScalePlan(real=4, hollow=40, relays=2, moments=(Moment(6.0, "quiet"), ...)))
+
+The list has many rows for each real upstream: every row is ready, and leads to one that answers. Around
+each moment counts, bytes and processor time of each role are read; bench/scale_events.py works with them.
+Real balancers come first in the fleet's numbers, and the last of them (`idle`) get no requests: these are
+what hollow ones are to be compared with. All that was started is ended with the run, also an interrupted one.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import tempfile
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO, Any
+
+from rig import capacity
+from rig.hollow_fleet import HollowFleet, Sight
+from rig.meter import VARIABLE, Reading
+from rig.processes import Process, Processes
+from rig.relays import peak_mb, relay_address, relay_processes
+from rig.scenario import Run, Scenario, TooManyError, free_port_at
+
+WHATS = ("quiet", "change", "down", "kill", "cut", "drip")
+BEFORE_S = 0.1  # a change follows the loss that it is to be told through
+RACK = 40
+FIRST_VERSION = 2  # of the list as it is at the release
+
+
+@dataclass(frozen=True)
+class Moment:
+    """Something that happens `at` seconds from the release, and is looked at for `window` seconds.
+
+    change: `rows` rows go in one instant, or come back. down: the list service is down for `span` seconds,
+    and changes a row when it is back. kill: so many relays (`count`), SIGKILL, and changed `rows`. cut: a
+    third of the hollow balancers for `span` seconds, and a changed row. drip: a row changes every `span`
+    seconds.
+    """
+
+    at: float
+    name: str
+    what: str = "quiet"
+    window: float = 6.0
+    rows: int = 1
+    first: int = 0  # row
+    gone: bool = False
+    count: int = 0
+    span: float = 0.0
+
+
+@dataclass(frozen=True)
+class ScalePlan:
+    """A scale run. rows: of the list; upstreams: real ones, behind these rows; idle: real balancers
+    without requests."""
+
+    real: int
+    hollow: int
+    moments: tuple[Moment, ...]
+    relays: int = 0
+    rows: int = 2_000
+    upstreams: int = 40
+    idle: int = 1
+    hollow_processes: int = 4
+    share: str = "rows"
+    rate: float = 40.0
+    seconds: float = 30.0
+    per_s: float = 50.0
+    seed: int = 1
+    lone: bool = True  # one more hollow balancer, in a process of its own
+
+    def fleet(self) -> int:
+        """All balancers together."""
+        return self.real + self.hollow + self.lone
+
+    def scale(self) -> capacity.Scale:
+        """What it asks of the machine."""
+        return capacity.Scale(
+            self.real,
+            self.hollow,
+            self.rows,
+            self.relays,
+            self.hollow_processes + self.lone,
+            self.share,
+            self.rate,
+        )
+
+
+@dataclass
+class Look:
+    """Counts of all roles at one moment of the machine's clock."""
+
+    at: float
+    sight: Sight
+    source: dict[str, Any]
+    cpu: dict[str, float]
+    memory_mb: dict[str, float]
+    relay_peak_mb: float
+    lone: Sight | None  # of the hollow balancer that has a process of its own
+
+
+@dataclass
+class Seen:
+    """One moment as it went: what was told when (version and time), and the looks around it."""
+
+    moment: Moment
+    before: Look
+    after: Look
+    told: list[tuple[int, float]] = field(default_factory=list)
+    told_bytes: int = 0  # to one watcher
+    back_at: float = 0.0  # when the service or the link was there again
+
+
+def cpu_seconds(pids: Iterable[int]) -> float:
+    """User and system time of processes, in seconds; those that have gone count nothing."""
+    total = 0.0
+    for pid in pids:
+        try:
+            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        total += (int(fields[11]) + int(fields[12])) / 100.0
+    return total
+
+
+def alias_rows(hosts: list[dict[str, Any]], rows: int) -> list[dict[str, Any]]:
+    """So many ready rows over these upstreams, each in the block and zone of the one that it leads to."""
+    leads = [hosts[n % len(hosts)] for n in range(rows)]
+    return [host | {"host": f"{host['host']}.{n:05}"} for n, host in enumerate(leads)]
+
+
+class ScaleRun(Run):
+    """One scale run being played."""
+
+    def __init__(self, plan: ScalePlan, scenario: Scenario, folder: Path, log: IO[str] | None) -> None:
+        super().__init__(scenario, folder, log)
+        self.plan = plan
+        self.groups["relays"] = plan.relays
+        self.addresses = [f"{relay_address(n)}:{free_port_at(relay_address(n))}" for n in range(plan.relays)]
+        self.version = FIRST_VERSION - 1
+        self.listed: list[dict[str, Any]] = []
+        self.relay_fleet = Processes([])
+        self.dead: set[str] = set()
+        self.seen: list[Seen] = []
+
+    # ---- putting it together
+
+    def _rows(self) -> list[dict[str, Any]]:
+        self.listed = alias_rows(self.hosts, self.plan.rows)
+        self.version += 1
+        return self.listed
+
+    def _links(self) -> list[Any]:
+        service = ["127.0.0.1", self.service_port]
+        return [
+            [f"relays[{n}]", "lists[0]", "tcp", [relay_address(n), 0], service, relay_address(n)]
+            for n in range(self.plan.relays)
+        ]
+
+    def _fault_proxy(self) -> None:
+        super()._fault_proxy()
+        self.relay_ways = self.proxy_ports
+        self.proxy_ports = [self.service_port] * self.plan.real  # no proxy: hollow ones have none either
+
+    def _config(self, number: int, life: int = 0) -> dict[str, Any]:
+        table = super()._config(number, life)
+        table["discovery"] = f"127.0.0.1:{self.service_port}"
+        table["settings"]["nInstances"] = self.plan.fleet()
+        return table
+
+    def _weight(self, number: int, rng: random.Random) -> float:
+        return 0.0 if number >= self.plan.real - self.plan.idle else super()._weight(number, rng)
+
+    def _balancers(self) -> None:
+        super()._balancers()
+        for one in self.processes.members:
+            one.environment[VARIABLE] = str(self._meter(one))
+            if self.plan.relays:
+                path = self.folder / f"{one.name}.toml"
+                names = ", ".join(f'"{address}"' for address in self.addresses)
+                path.write_text(f"[lists]\ncalls_per_s = {self.plan.per_s:g}\nrelays = [{names}]\n")
+                one.arguments = ("serve", "--operator", str(path))
+        self._start_relays()
+        self._start_hollow()
+
+    def _meter(self, one: Process) -> Path:
+        return self.folder / f"{one.name}.meter"
+
+    def _start_relays(self) -> None:
+        plan = self.plan
+        sources = [f"{relay_address(n)}:{way}" for n, way in enumerate(self.relay_ways)]
+        self.relay_fleet = relay_processes(self.addresses, sources, plan.fleet(), plan.per_s, self.folder)
+        self.stack.enter_context(self.relay_fleet)
+        self.relay_fleet.hold()
+
+    def _start_hollow(self) -> None:
+        plan = self.plan
+        told = {
+            "balancers": plan.fleet(), "discovery": f"127.0.0.1:{self.service_port}",
+            "relays": self.addresses, "seed": plan.seed, "share": plan.share,
+        }  # fmt: skip
+        self.hollow = HollowFleet(plan.real, plan.hollow, plan.hollow_processes, told, self.stack)
+        # One more alone, with nothing shared: what a process costs is told from what a balancer costs.
+        alone = told | {"share": "nothing"}
+        self.lone = HollowFleet(plan.real + plan.hollow, int(plan.lone), 1, alone, self.stack)
+
+    # ---- playing
+
+    def _begin(self, at: float) -> None:
+        super()._begin(at)
+        self.hollow.begin(at)
+        self.lone.begin(at)
+        self.relay_fleet.release()  # they stand before the balancers ask
+        self.start = self._look()
+
+    def _look(self) -> Look:
+        self._tell(self.service, {"count": 1})
+        source = json.loads(self.service.stdout.readline())
+        loaded = self.processes.members[: self.plan.real - self.plan.idle]
+        idle = self.processes.members[self.plan.real - self.plan.idle :]
+        roles: dict[str, list[int]] = {
+            "source": [self.service.pid], "hollow": self.hollow.pids(), "proxy": [self.proxy.pid],
+            "hollow lone": self.lone.pids(),
+            "real under load": pids(loaded), "real idle": pids(idle),
+            "relays": pids(self.relay_fleet.members), "upstreams": [self.upstreams.pid],
+            "clients": [self.clients.pid],
+        }  # fmt: skip
+        cpu = {role: cpu_seconds(numbers) for role, numbers in roles.items()}
+        sight = self.hollow.read()
+        memory = {
+            "hollow, all": round(sight.rss_mb, 1),
+            "real, most": max((one.resident_mb() for one in self.processes.members), default=0.0),
+            "relay, most": max((one.resident_mb() for one in self.relay_fleet.members), default=0.0),
+        }
+        peak = max((peak_mb(one) for one in self.relay_fleet.members), default=0.0)
+        lone = self.lone.read() if self.plan.lone else None
+        return Look(time.monotonic(), sight, source, cpu, memory, peak, lone)
+
+    def _carry_out(self) -> None:
+        """The moments in their order; the first look of each is the last one's last where they touch."""
+        look = self.start
+        for moment in self.plan.moments:
+            time.sleep(max(0.0, self.began + moment.at - time.monotonic()))
+            if time.monotonic() > look.at + 1.0 and moment.at > 0:
+                look = self._look()
+            seen = Seen(moment, look, look)
+            self.say(moment.name)
+            self._happen(moment, seen)
+            time.sleep(max(0.0, self.began + moment.at + moment.window - time.monotonic()))
+            look = seen.after = self._look()
+            self.seen.append(seen)
+
+    def _happen(self, moment: Moment, seen: Seen) -> None:
+        """Do what the moment says, and note what was told when."""
+        if moment.what == "change":
+            self._change(moment, seen)
+        elif moment.what == "down":
+            self._tell(self.service, {"down": moment.span})
+            time.sleep(moment.span + BEFORE_S)
+            seen.back_at = time.monotonic()
+            self._touch(seen)
+        elif moment.what == "kill":
+            for one in self._victims(moment.count):
+                one.signal("kill")
+                self.dead.add(one.name)
+            time.sleep(BEFORE_S)
+            self._touch(seen, moment.rows)
+        elif moment.what == "cut":
+            first = self.plan.real
+            seen.back_at = time.monotonic() + moment.span
+            self.hollow.cut(first, first + self.plan.hollow // 3, seen.back_at)
+            time.sleep(BEFORE_S)
+            self._touch(seen)
+        elif moment.what == "drip":
+            while time.monotonic() < self.began + moment.at + moment.window - 2 * moment.span:
+                time.sleep(moment.span)
+                self._touch(seen)
+
+    def _victims(self, count: int) -> list[Process]:
+        alive = [one for one in self.relay_fleet.members if one.name not in self.dead]
+        return alive[: min(count, max(0, len(alive) - 1))]
+
+    def _change(self, moment: Moment, seen: Seen) -> None:
+        rows = self.listed[moment.first : moment.first + moment.rows]
+        state: dict[str, Any] = {"health": "gone"} if moment.gone else {"born_ms": round(time.time() * 1000)}
+        self._send([row | state for row in rows], seen)
+
+    def _touch(self, seen: Seen, rows: int = 1) -> None:
+        """Some rows start anew."""
+        first, born = self.version % len(self.listed), round(time.time() * 1000)
+        self._send([row | {"born_ms": born} for row in self.listed[first : first + rows]], seen)
+
+    def _send(self, rows: list[dict[str, Any]], seen: Seen) -> None:
+        self.version += 1
+        seen.told.append((self.version, time.monotonic()))
+        text = json.dumps({"seq": self.version, "whole": False, "hosts": rows})
+        seen.told_bytes += len(text) + 1 + len(f"{len(text) + 1:x}") + 4
+        self._tell(self.service, {"change": rows})
+
+    # ---- what it came to
+
+    def _result(
+        self, told: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
+    ) -> dict[str, Any]:
+        result = super()._result(told, books, service, memory, crashes)
+        for one in self.relay_fleet.members:
+            one.note_end()
+        crashed = [text for one in self.relay_fleet.members for text in one.crashes]
+        result["crashes"] += crashed
+        result["kept"] = result["kept"] and not crashed
+        steps = {int(second): counts for second, counts in told["steps"].items()}
+        unserved = {int(second): counts for second, counts in told["unserved"].items()}
+        return result | {
+            "plan": self.plan, "began": self.began, "seen": self.seen, "steps": steps, "unserved": unserved,
+            "source_calls": service.get("calls", []),
+            "readings": [Reading(self._meter(one)) for one in self.processes.members],
+        }  # fmt: skip
+
+
+def pids(members: Iterable[Process]) -> list[int]:
+    """Of those that run."""
+    return [one.running.pid for one in members if one.running is not None]
+
+
+def play_scale(plan: ScalePlan, log: IO[str] | None = None) -> dict[str, Any]:
+    """One scale run; TooManyError with the bound where the machine can't bear it."""
+    why = capacity.scale_refusal(capacity.read(), plan.scale())
+    if why:
+        raise TooManyError(why)
+    scenario = Scenario(
+        balancers=plan.real, service={"per_s": plan.per_s, "line": "queues"},
+        nodos={"nodos": plan.upstreams, "capacity": 200.0, "connect_s": 0.001}, rate=plan.rate,
+        seconds=plan.seconds, seed=plan.seed,
+    )  # fmt: skip
+    with tempfile.TemporaryDirectory(prefix="quartzford-scale-") as folder:
+        return ScaleRun(plan, scenario, Path(folder), log).play()
