bench.scale: relays are there; events as docs/CAPACITY.md names them; all relays killed

Events go into the JSON in the form that bench.capacity reads. All relays killed is played too: the list service is asked by all, in their lap.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -4,13 +4,12 @@
 lists between), with a list service that works through fifty calls a second. Sizes: --small 4 real and 40
 hollow, --quick 20 and 200, 20 and 1,000, else 20 and 4,600 too, and 418 behind one relay with 63,000 rows.
 Prints a line of JSON for each event and the verdict by the bounds that the operators set; exit 0 only if all
-were kept. Where the program has no relays yet, before alone is played.
+were kept.
 """
 
 from __future__ import annotations
 
 import argparse
-import importlib.util
 import json
 import math
 import sys
@@ -31,6 +30,7 @@
 KILLED_S, KILLED_BYTES = 6.0, 1.1
 WAIT_S, RELAY_MB = 1.0, 512.0  # behind whole lists of 63,000 rows
 AGREE = 0.15
+ALL_KILLED = "all relays killed"
 RELAYS = 11
 OWN_MODULES = 1_000  # so many hollow balancers have a module each; more share it by process
 LONG_ROWS, LONG_HOLLOW = 63_000, 418
@@ -60,20 +60,23 @@
     listed = [
         Moment(0.0, "all start", window=START_S + lap),
         Moment(0.0, "quiet"),
-        Moment(0.0, "one upstream goes", "change", rows=1, gone=True),
-        Moment(0.0, "one upstream is replaced", "change", rows=1),
-        Moment(0.0, "a rack goes", "change", rows=min(RACK, rows), gone=True),
-        Moment(0.0, "a rack is back", "change", rows=min(RACK, rows)),
-        Moment(0.0, "a zone goes", "change", rows=zone, first=rows // 3, gone=True),
-        Moment(0.0, "a zone is back", "change", rows=zone, first=rows // 3),
-        Moment(0.0, "the source is down", "down", window=size.down_s + 8.0 + lap, span=size.down_s),
+        Moment(0.0, "one upstream gone", "change", rows=1, gone=True),
+        Moment(0.0, "one upstream replaced", "change", rows=1),
+        Moment(0.0, "rack", "change", rows=min(RACK, rows), gone=True),
+        Moment(0.0, "rack back", "change", rows=min(RACK, rows)),
+        Moment(0.0, "zone", "change", rows=zone, first=rows // 3, gone=True),
+        Moment(0.0, "zone back", "change", rows=zone, first=rows // 3),
+        Moment(0.0, "source down", "down", window=size.down_s + 8.0 + lap, span=size.down_s),
     ]
     if relays:
-        listed.append(Moment(0.0, "one relay killed", "kill", window=8.0, rows=RACK, count=1))
+        listed.append(Moment(0.0, "relay killed", "kill", window=8.0, rows=RACK, count=1))
     if relays > 4:
         listed.append(Moment(0.0, "three relays killed", "kill", window=8.0, rows=RACK, count=3))
     if size.cut:
-        listed.append(Moment(0.0, "a third cut off", "cut", window=68.0 + lap, span=60.0))
+        listed.append(Moment(0.0, "cut off", "cut", window=68.0 + lap, span=60.0))
+    if relays:  # and now the list service is asked by all, in their lap
+        own = 1.25 * (size.real + size.hollow) / PER_S
+        listed.append(Moment(0.0, ALL_KILLED, "kill", window=12.0 + own, rows=RACK, count=relays))
     placed, at = [], 0.0
     for one in listed:
         span = window if one.what in ("change", "quiet") and one.window == 6.0 else one.window
@@ -105,6 +108,45 @@
     )  # fmt: skip
 
 
+# ---- what docs/CAPACITY.md shows
+
+
+def page_rows(run: dict[str, Any]) -> list[dict[str, Any]]:
+    """The events in the form that bench.capacity reads: hollow and real balancers together."""
+    rows = []
+    for event in run["events"]:
+        hollow, real = event["hollow"], event["real"]
+        both = hollow["of"] + real["of"] > 0
+        told = event["hollow_each"]["bytes_in"] * run["hollow"] + event["real_each"]["bytes_in"] * run["real"]
+        rows.append({
+            "event": event["event"], "way": "relays" if run["relays"] else "source",
+            "hollow": run["hollow"], "real": run["real"], "rows": run["rows"],
+            "p50_s": hollow["p50_s"] if both else None,
+            "p99_s": max(hollow["p99_s"], real["p99_s"]) if both else None,
+            "last_s": max(hollow["last_s"], real["last_s"]) if both else None,
+            "missing": hollow["missing"] + real["missing"],
+            "source_calls": sum(event["source"]["calls"].values()), "bytes_out": round(told),
+            "requests": noticed(event, run["events"]),
+        })  # fmt: skip
+    return rows
+
+
+def noticed(event: dict[str, Any], events: list[dict[str, Any]]) -> str:
+    """What the real balancers' requests noticed, beside those of the quiet time."""
+    quiet = next((one["requests"]["p99_ms"] for one in events if one["event"] == "quiet"), 0.0)
+    lost = unserved(event)
+    said = f"{sum(lost.values())} of {event['requests']['served'] + sum(lost.values())} not served"
+    return f"{said}, p99 {event['requests']['p99_ms']:.0f} ms (quiet: {quiet:.0f} ms)"
+
+
+def unserved(event: dict[str, Any]) -> dict[str, int]:
+    """Requests that were not served, by their end."""
+    lost = dict(event["requests"]["unserved"])
+    if event["event"].startswith("all start"):
+        lost.pop("unreachable", 0)  # nobody serves before the first has started
+    return lost
+
+
 # ---- the verdict
 
 
@@ -137,17 +179,16 @@
 def _of_all(event: dict[str, Any]) -> list[Check]:
     name = event["event"]
     missing = event["hollow"]["missing"] + event["real"]["missing"]
-    lost = dict(event["requests"]["unserved"])
-    if name.startswith("all start"):
-        lost.pop("unreachable", 0)  # nobody serves before the first has started
     return [
         Check(f"{name}: balancers that never had it", missing, 0, False),
-        Check(f"{name}: requests not served", sum(lost.values()), 0, False),
+        Check(f"{name}: requests not served", sum(unserved(event).values()), 0, False),
     ]
 
 
 def _of_relays(event: dict[str, Any], relays: int) -> list[Check]:
     name, source = event["event"], event["source"]
+    if name == ALL_KILLED:
+        return []
     found = [Check(f"{name}: balancers' calls at the source", source["calls"]["balancers"], 0, False)]
     both = [event["hollow"], event["real"]]
     p99, last = max(one["p99_s"] for one in both), max(one["last_s"] for one in both)
@@ -207,20 +248,14 @@
     return run
 
 
-def has_relays() -> bool:
-    """Whether this program has the relay."""
-    return importlib.util.find_spec("quartzford.relay") is not None
-
-
 def runs(options: argparse.Namespace) -> list[tuple[str, ScalePlan]]:
     """What is to be played, by name."""
     sizes = SMALL if options.small else QUICK if options.quick else FULL
-    kinds = [False, True] if has_relays() else [False]
     listed = [
         (f"{size.name} {'after' if after else 'before'}", plan_of(size, after, options.seed, options.share))
-        for size in sizes for after in kinds
+        for size in sizes for after in (False, True)
     ]  # fmt: skip
-    if has_relays() and not (options.small or options.quick):
+    if not (options.small or options.quick):
         listed.append(("63000 rows", long_plan(options.seed)))
     return [(name, plan) for name, plan in listed if not options.only or name in options.only]
 
@@ -250,11 +285,10 @@
     options = parser.parse_args()
     chosen = runs(options)
     found = [run for name, plan in chosen if (run := played(name, plan)) is not None]
-    if not has_relays():
-        print("  this program has no relays: before alone")
     for run in found:
         run["checks"] = [check._asdict() | {"kept": check.kept()} for check in checks(run)]
-    report({"per_s": PER_S, "seed": options.seed, "runs": found}, options.json)
+    rows = [row for run in found for row in page_rows(run)]
+    report({"per_s": PER_S, "seed": options.seed, "events": rows, "runs": found}, options.json)
     good = verdict(found)
     print(f"scale: {len(found)} of {len(chosen)} runs, bounds {'kept' if good else 'NOT KEPT'}")
     return 0 if good and len(found) == len(chosen) else 1
--- a/rig/scale.py
+++ b/rig/scale.py
@@ -282,7 +282,7 @@
 
     def _victims(self, count: int) -> list[Process]:
         alive = [one for one in self.relay_fleet.members if one.name not in self.dead]
-        return alive[: min(count, max(0, len(alive) - 1))]
+        return alive[:count]
 
     def _change(self, moment: Moment, seen: Seen) -> None:
         rows = self.listed[moment.first : moment.first + moment.rows]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -18,7 +18,8 @@
 import pytest
 import uvloop
 
-from bench.scale import FULL, Check, checks, differences, has_relays, long_plan, plan_of
+from bench.capacity_inputs import read_scale
+from bench.scale import FULL, Check, checks, differences, long_plan, page_rows, plan_of
 from bench.scale_events import Books, first_at, spread
 from rig.capacity import Machine, Scale, scale_refusal
 from rig.hollow import Hollows, SharedReader
@@ -33,13 +34,13 @@
 HOSTS = [{"host": f"s{n}", "dial": f"127.0.0.1:{n + 1}", "site": "north", "class": "std", "block": n // 4,
           "health": "ready", "share": 1.0, "born_ms": 0} for n in range(8)]  # fmt: skip
 SMALL = (
-    Moment(0.0, "all start", window=5.0),
-    Moment(5.0, "quiet", window=2.0),
-    Moment(7.0, "a rack goes", "change", window=2.0, rows=40, gone=True),
-    Moment(9.0, "a rack is back", "change", window=2.0, rows=40),
-    Moment(11.0, "the source is down", "down", window=9.0, span=1.5),
+    Moment(0.0, "all start", window=4.0),
+    Moment(4.0, "quiet", window=1.0),
+    Moment(5.0, "rack", "change", window=1.5, rows=40, gone=True),
+    Moment(6.5, "rack back", "change", window=1.5, rows=40),
+    Moment(8.0, "source down", "down", window=7.0, span=1.5),
 )
-KILLED = Moment(20.0, "one relay killed", "kill", window=8.0, rows=40, count=1)
+KILLED = Moment(15.0, "relay killed", "kill", window=5.0, rows=40, count=1)
 
 
 # ---- bounds
@@ -204,11 +205,13 @@
     assert set(run["agreement"]) >= {"calls, all", "bytes in, all", "change in force, p50 ms"}
 
 
-@pytest.mark.skipif(not has_relays(), reason="the program has no relays")
 def test_real_and_hollow_balancers_behind_two_relays_one_of_which_is_killed() -> None:
     run = play(2)
     assert run["kept"] and not broken(run), (broken(run), run["crashes"], run["ends"])
     assert run["events"][-1]["hollow"]["of"] == 40
+    rows = read_scale({"events": page_rows(run)})
+    assert {row.event for row in rows} == {moment.name for moment in (*SMALL, KILLED)}
+    assert all(row.way == "relays" and row.hollow == 40 for row in rows)
 
 
 def alive(pid: int) -> bool:
