--- a/bench/scale.py
+++ b/bench/scale.py
@@ -12,6 +12,7 @@
 import argparse
 import json
 import math
+import signal
 import sys
 import time
 from dataclasses import replace
@@ -189,7 +190,10 @@
     name, source = event["event"], event["source"]
     if name == ALL_KILLED:
         return []
-    found = [Check(f"{name}: balancers' calls at the source", source["calls"]["balancers"], 0, False)]
+    found = []
+    if event["what"] != "cut":  # who reaches no relay asks the source
+        calls = source["calls"]["balancers"]
+        found.append(Check(f"{name}: balancers' calls at the source", calls, 0, False))
     both = [event["hollow"], event["real"]]
     p99, last = max(one["p99_s"] for one in both), max(one["last_s"] for one in both)
     if event["what"] == "change":
@@ -283,6 +287,7 @@
     parser.add_argument("--share", choices=SHARES, default="", help="what hollow ones share")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))  # ends what was started
     chosen = runs(options)
     found = [run for name, plan in chosen if (run := played(name, plan)) is not None]
     for run in found:
