--- a/quartzford/backends/http1.py
+++ b/quartzford/backends/http1.py
@@ -72,6 +72,8 @@
         self.engine, self.budget, self.clock, self.loop = core, budget, clock, loop
         self.now = clock.now
         self.upstreams: dict[str, Upstream] = {}
+        self.resting: dict[Upstream, None] = {}  # those that may have idle connections
+        self.retired: dict[Upstream, None] = {}  # kept until the list forgets the name
         self.connections: set[Connection] = set()
         self.connects = 0
         self.opened: Counter[str] = Counter()  # connections made, by upstream
@@ -91,6 +93,8 @@
     def may_connect(self) -> bool:
         if len(self.connections) + self.connects < self.most:
             return True
+        if not any(upstream.idle for upstream in self.resting):
+            return False
         for upstream in self.upstreams.values():
             if upstream.idle:
                 upstream.idle.popleft().close()
@@ -99,7 +103,7 @@
 
     def trim(self) -> None:
         """End what rests: another process needs the descriptors."""
-        for upstream in self.upstreams.values():
+        for upstream in list(self.resting):
             upstream.expire(math.inf)
 
     def listed(self, listing: Listing) -> None:
@@ -125,15 +129,26 @@
         """Connections that stood idle for long, upstreams that are gone, answers that have stopped."""
         now = self.now()
         before = now - REUSE_SHARE * self.idle_ms / 1000.0
-        for name, upstream in list(self.upstreams.items()):
+        for upstream in list(self.resting):
             upstream.expire(before)
-            if not upstream.ready and name not in self.engine.balancer.servers:
-                del self.upstreams[name]
-                self.opened.pop(name, None)
+            if not upstream.idle:
+                del self.resting[upstream]
+        for upstream in list(self.retired):
+            self._forget(upstream)
         for attempt in list(self.streams):
             if now - attempt.moved > STALL_S and not attempt.call.stuck():
                 attempt.fail("reset")
 
+    def _forget(self, upstream: Upstream) -> None:
+        """A retired upstream, if another life has followed it or the list no longer names it."""
+        current = self.upstreams.get(upstream.name) is upstream
+        if current and upstream.name in self.engine.balancer.servers:
+            return
+        del self.retired[upstream]
+        if current:
+            del self.upstreams[upstream.name]
+            self.opened.pop(upstream.name, None)
+
 
 class Upstream:
     """One life of an upstream at one address; a restart or a new address makes another."""
@@ -151,6 +166,7 @@
     def retire(self) -> None:
         """Nothing new goes here: it drains, is gone, or has been followed by another life."""
         self.ready = False
+        self.pool.retired[self] = None
         while self.idle:
             self.idle.pop().close()
 
@@ -172,6 +188,7 @@
             return connection.close()
         connection.idle_since = self.pool.now()
         self.idle.append(connection)
+        self.pool.resting[self] = None
 
     def drop(self, connection: Connection) -> None:
         """An idle connection that an upstream has ended."""
--- a/tests/test_sockets_resources.py
+++ b/tests/test_sockets_resources.py
@@ -8,7 +8,7 @@
 import uvloop
 from peers import SETTINGS, Message, World, read_message, reply, request, run, until
 
-from quartzford.backends.http1 import REST_S
+from quartzford.backends.http1 import REST_S, Upstream
 from quartzford.node import BASE_DESCRIPTORS
 
 
@@ -88,3 +88,30 @@
         task.cancel()
         await until(lambda: not world.node.front.clients)
         assert len(world.ups[0].came) == 1 and world.node.budget.used == 0
+
+
+@run
+async def test_a_sweep_looks_at_those_upstreams_alone_that_rest_or_have_gone() -> None:
+    """Thousands are not gone through four times a second; what has gone is forgotten all the same."""
+    async with World(2) as world:
+        rows = [world.host(0), world.host(1), *(world.host(0, host=f"x{n}") for n in range(3_000))]
+        world.news(*rows, whole=True)
+        await until(lambda: len(world.node.pool.upstreams) == 3_002)
+        world.news(*(row | {"health": "draining"} for row in rows[2:1_000]))
+        world.news(*(row | {"health": "gone"} for row in rows[2:900]))
+        await until(lambda: len(world.node.pool.upstreams) == 3_002 - 898)
+        looked: list[str] = []
+        expire = Upstream.expire
+
+        def counted(upstream: Upstream, before: float) -> None:
+            looked.append(upstream.name)
+            expire(upstream, before)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Upstream, "expire", counted)
+            for _ in range(8):
+                assert (await world.ask(request())).status == 200
+            looked.clear()
+            world.node.pool.sweep()
+        assert 1 <= len(looked) <= 8
+        assert all(not up.ready for up in world.node.pool.retired) and len(world.node.pool.retired) == 100
