--- /dev/null
+++ b/bench/slopes_list.py
@@ -0,0 +1,265 @@
+"""Slopes of the list in a balancer: memory, take-in time, stalls, processor time at rest, bytes.
+
+The program's own Node (watch, listing, pieces, module) on an event loop in a process of its own, fed from a
+socket by bench/slopes_source.py. No client traffic.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from collections.abc import Callable
+from multiprocessing.connection import Connection
+from statistics import median
+from typing import Any, NamedTuple
+
+import uvloop
+
+from bench.fit import figure
+from bench.slopes_process import Ticks, measured, receive, resident_mb, spawned
+from bench.slopes_source import BEAT, Written, chunk, encoded, rows, source
+from quartzford.decision import interface as io
+from quartzford.decision.columns import load_arrays
+from quartzford.membership import watch
+from quartzford.node import Node
+from quartzford.settings.platform import Config, read_config
+from standins.site import config, free_port
+
+ROLE = "balancer"
+TARGET_UPSTREAMS = 63_000
+TARGET_CHANGES = 0.25  # a second: 7,110 upstreams a day fail or are replaced, three rows each
+RACK = 40
+SITE_TICK_MS = 5.0
+LINE_BYTES = 64 * 1024 * 1024
+TAKE_IN_S = 60.0
+REST_S = 1.0  # between two measurements, until what they left behind is done
+
+
+class Quiet:
+    """A log that keeps nothing."""
+
+    def line(self, topic: str, text: str) -> None:
+        """Dropped."""
+
+    def trouble(self, where: str) -> None:
+        """An exception at a boundary: none is expected here."""
+        raise
+
+
+class Sizes(NamedTuple):
+    """What is measured in one run; of each tuple the size that is kept out of the fit stands beside it."""
+
+    upstreams: tuple[int, ...]
+    kept_upstreams: int
+    changes: int  # single rows changed at each size
+    rounds: int  # of which the median counts
+    window_s: float  # of processor time at rest
+    tick_ms: tuple[float, ...] = (1.0, 2.0, 5.0, 20.0)
+    kept_tick_ms: float = 5.0
+    per_s: tuple[float, ...] = (1.0, 5.0, 10.0, 40.0)
+    kept_per_s: float = 10.0
+    rest_upstreams: int = 4_000  # where tick and rate are varied
+
+
+QUICK = Sizes((500, 1_000, 2_000, 4_000), 2_000, 6, 1, 0.5, rest_upstreams=1_000)
+FULL = Sizes((1_000, 4_000, 16_000, 32_000, 63_000), 32_000, 20, 3, 3.0)
+
+
+def line_bytes_in_force() -> int:
+    """The longest line of discovery that the program takes as it stands."""
+    return watch.LINE_BYTES
+
+
+def balancer_config(discovery: int, tick_ms: float = SITE_TICK_MS) -> Config:
+    """A balancer that asks the source itself, alone, and knows no list before."""
+    table = config(free_port(), discovery, {"seq": 0, "whole": True, "hosts": []})
+    table["settings"] |= {"registryMode": "subscribe", "nInstances": 1, "tickMs": tick_ms}
+    return read_config(json.dumps(table))
+
+
+def quiet_node(settings: Config) -> Node:
+    """The program's node, without its log."""
+    node = Node(settings, asyncio.get_running_loop())
+    node.log = node.watch.log = node.engine.log = Quiet()  # type: ignore[assignment]
+    return node
+
+
+class Adoption:
+    """Hears of each piece that the module has adopted, and when a condition on the list first holds."""
+
+    def __init__(self, node: Node) -> None:
+        self.node, self.listed = node, node.engine.listed
+        self.condition: Callable[[], bool] = lambda: False
+        self.done: asyncio.Future[float] = node.loop.create_future()
+        node.engine.listed = self._listed  # type: ignore[method-assign]
+
+    def _listed(self, how: str, entries: tuple[io.Entry, ...] = ()) -> None:
+        self.listed(how, entries)
+        if not self.done.done() and self.condition():
+            self.done.set_result(time.monotonic())
+
+    async def when(self, condition: Callable[[], bool]) -> float:
+        """The moment (monotonic clock) at which it held."""
+        self.condition, self.done = condition, self.node.loop.create_future()
+        if condition():
+            return time.monotonic()
+        return await asyncio.wait_for(self.done, TAKE_IN_S)
+
+
+async def _taken_in(node: Node, count: int) -> float:
+    """Start, and the seconds until the module has so many upstreams."""
+    adoption, begun = Adoption(node), time.monotonic()
+    await node.start()
+    return await adoption.when(lambda: len(node.engine.balancer.servers) == count) - begun
+
+
+async def _one_change(node: Node, adoption: Adoption, orders: Connection, count: int) -> float:
+    """Seconds from the source's write of so many changed rows until the module has them."""
+    servers = node.engine.balancer.servers
+    orders.send(("change", count))
+    written: Written = await node.loop.run_in_executor(None, receive, orders)
+    names = written.names
+    done = await adoption.when(lambda: all(servers[name].entry.state == written.state for name in names))
+    return done - written.at
+
+
+async def _list_costs(pipe: Connection, port: int, orders: Connection, count: int, changes: int) -> None:
+    load_arrays()
+    node = quiet_node(balancer_config(port))
+    before, ticks = resident_mb(), Ticks(node.loop)
+    await asyncio.sleep(0.1)
+    ticks.begin()
+    spent_before = time.process_time()
+    took = await _taken_in(node, count)
+    processor = time.process_time() - spent_before
+    stall = await ticks.worst_ms()
+    peak = resident_mb(peak=True)
+    await asyncio.sleep(REST_S)
+    after = resident_mb()
+    adoption, spent, stalls = Adoption(node), [], []
+    for _ in range(changes):
+        ticks.begin()
+        spent.append(await _one_change(node, adoption, orders, 1))
+        stalls.append(await ticks.worst_ms())
+    pipe.send({
+        "base_mb": before, "resident_mb": after, "peak_mb": max(peak, after), "take_in_s": took,
+        "take_in_cpu_ms": processor * 1000, "stall_ms": stall, "change_ms": median(spent) * 1000,
+        "change_stall_ms": median(stalls), "change_worst_stall_ms": max(stalls),
+    })  # fmt: skip
+
+
+def list_costs(
+    pipe: Connection, port: int, orders: Connection, count: int, changes: int, extra: bool
+) -> None:
+    """A list of so many rows taken in whole, and then single rows of it changed; extra: with orjson."""
+    if not extra:
+        sys.modules["orjson"] = None  # type: ignore[assignment]
+    watch.LINE_BYTES = max(watch.LINE_BYTES, LINE_BYTES)
+    uvloop.run(_list_costs(pipe, port, orders, count, changes))
+
+
+async def _at_rest(pipe: Connection, port: int, count: int, tick_ms: float, window_s: float) -> None:
+    load_arrays()
+    node = quiet_node(balancer_config(port, tick_ms))
+    await _taken_in(node, count)
+    await asyncio.sleep(REST_S)
+    pipe.send("taken in")
+    await node.loop.run_in_executor(None, pipe.recv)
+    begun, before = time.monotonic(), time.process_time()
+    await asyncio.sleep(window_s)
+    pipe.send((time.process_time() - before) / (time.monotonic() - begun))
+
+
+def at_rest(pipe: Connection, port: int, count: int, tick_ms: float, window_s: float) -> None:
+    """Processor time a second of a balancer that has its list and serves nobody."""
+    watch.LINE_BYTES = max(watch.LINE_BYTES, LINE_BYTES)
+    uvloop.run(_at_rest(pipe, port, count, tick_ms, window_s))
+
+
+def rest_ms_per_s(count: int, window_s: float, tick_ms: float = SITE_TICK_MS, per_s: float = 0.0) -> float:
+    """Milliseconds of processor time a second at rest; per_s: single rows changed a second."""
+    with source(count) as (port, _, orders), spawned(at_rest, port, count, tick_ms, window_s) as pipe:
+        receive(pipe)
+        if per_s:
+            orders.send(("rate", per_s))
+        pipe.send("begin")
+        spent: float = receive(pipe)
+    return spent * 1000
+
+
+def costs_by_size(sizes: Sizes, extra: bool = True) -> dict[int, dict[str, float]]:
+    """The median of the rounds of list_costs at each size, with the bytes of the call and of the whole."""
+    out = {}
+    for count in sizes.upstreams:
+        rounds = [_costs(count, sizes.changes, extra) for _ in range(sizes.rounds)]
+        out[count] = {key: median(row[key] for row in rounds) for key in rounds[0]}
+    return out
+
+
+def _costs(count: int, changes: int, extra: bool) -> dict[str, float]:
+    with source(count) as (port, whole, orders):
+        row: dict[str, float] = measured(list_costs, port, orders, count, changes, extra)
+        orders.send(("calls", None))
+        calls = receive(orders)
+    return row | {"whole_bytes": whole, "call_bytes": calls[0]}
+
+
+LIST_FIGURES = (
+    ("list: resident memory", "MB", "resident_mb"),
+    ("list: highest memory while taken in", "MB", "peak_mb"),
+    ("list: time until taken in", "s", "take_in_s"),
+    ("list: processor time of taking it in", "ms", "take_in_cpu_ms"),
+    ("list: longest stall of the loop", "ms", "stall_ms"),
+    ("list: one changed row until taken in", "ms", "change_ms"),
+    ("list: longest stall by one changed row", "ms", "change_stall_ms"),
+    ("list: bytes of the whole", "B", "whole_bytes"),
+    ("list: bytes of a call and its answer's head", "B", "call_bytes"),
+)
+PLAIN_FIGURES = (
+    ("list without orjson: time until taken in", "s", "take_in_s"),
+    ("list without orjson: longest stall of the loop", "ms", "stall_ms"),
+)
+
+
+def figures(sizes: Sizes) -> list[dict[str, Any]]:
+    """All figures of the list in a balancer."""
+    out = []
+    for table, extra in ((LIST_FIGURES, True), (PLAIN_FIGURES, False)):
+        costs = costs_by_size(sizes, extra)
+        out += [
+            figure(ROLE, name, unit, "upstreams", {n: row[key] for n, row in costs.items()},
+                   sizes.kept_upstreams, TARGET_UPSTREAMS)
+            for name, unit, key in table
+        ]  # fmt: skip
+    return out + _rest_figures(sizes) + byte_figures()
+
+
+def _rest_figures(sizes: Sizes) -> list[dict[str, Any]]:
+    window, unit = sizes.window_s, "ms/s"
+    by_size: dict[float, float] = {n: rest_ms_per_s(n, window) for n in sizes.upstreams}
+    by_tick = {t: rest_ms_per_s(sizes.rest_upstreams, window, tick_ms=t) for t in sizes.tick_ms}
+    by_rate = {r: rest_ms_per_s(sizes.rest_upstreams, window, per_s=r) for r in sizes.per_s}
+    return [
+        figure(ROLE, "rest: processor time", unit, "upstreams", by_size, sizes.kept_upstreams,
+               TARGET_UPSTREAMS),
+        figure(ROLE, "rest: processor time by tickMs", unit, "ms of a tick", by_tick, sizes.kept_tick_ms,
+               SITE_TICK_MS),
+        figure(ROLE, "rest: processor time by changes", unit, "rows changed a second", by_rate,
+               sizes.kept_per_s, TARGET_CHANGES),
+    ]  # fmt: skip
+
+
+def byte_figures() -> list[dict[str, Any]]:
+    """Bytes of a change by its rows, and of beats by time, as they are on the wire."""
+    made = rows(4_200)
+    changes = {
+        float(n): float(len(chunk(encoded(TARGET_UPSTREAMS, False, made[:n]))))
+        for n in (1, 4, 10, 40, 400, 4_200)
+    }
+    beats = {seconds: len(BEAT) * seconds / 2.0 for seconds in (60.0, 600.0, 3_600.0, 86_400.0)}
+    return [
+        figure(ROLE, "bytes of a change", "B", "rows changed", changes, 40.0, 4_200.0),
+        figure(ROLE, "bytes of beats", "B", "seconds", beats, 3_600.0, 86_400.0),
+    ]
--- /dev/null
+++ b/bench/slopes_requests.py
@@ -0,0 +1,272 @@
+"""Slopes of requests at a balancer: processor time by upstreams and by rate, and what the HTTP path adds.
+
+Latencies count from intended times. The balancer is the platform's run in a process of its own, before
+stand-in upstreams that answer at once (a loop's timer is exact to a millisecond, which is what is to be
+measured); the same load goes straight to one of them in turns.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import math
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from multiprocessing.connection import Connection
+from pathlib import Path
+from statistics import median
+from typing import Any, NamedTuple
+
+import uvloop
+
+from bench.common import ROOT
+from bench.decisions import MOST_OUT, Site
+from bench.fit import figure
+from bench.slopes_process import MeasureError, measured, processor_s, receive, spawned
+from bench.slopes_source import rows, source
+from quartzford.decision.columns import load_arrays
+from quartzford.decision.logic import Balancer
+from quartzford.load.clients import SINGLE, Kind
+from quartzford.load.driver import Target
+from quartzford.load.run import Load, play
+from standins.nodo import Books, Nodo, fleet
+from standins.site import config, free_port
+
+ROLE = "balancer"
+TARGET_UPSTREAMS = 63_000
+SERVICE_UPSTREAMS = 24  # 63,000 over 2,700 services
+TARGET_RATE = 120.0  # 550,000 requests a second over 4,600 balancers
+FLEET = 8  # stand-in upstreams in one process
+READY_S = 20.0
+END_S = 20.0
+SETTLE_S, REST_S, WARM_S = 0.5, 1.0, 0.7
+KIND = (Kind("consulta"),)
+
+
+class Sizes(NamedTuple):
+    """What is measured; seconds: of each rate, one for one."""
+
+    upstreams: tuple[int, ...]
+    kept_upstreams: int
+    batches: int  # of two hundred requests in the module
+    rates: tuple[float, ...]
+    kept_rate: float
+    seconds: tuple[float, ...]
+    rounds: int
+    path_upstreams: tuple[int, ...]
+    kept_path_upstreams: int
+    path_rate: float
+    path_seconds: float
+
+
+QUICK = Sizes((100, 500, 1_000, 2_000), 1_000, 5, (60.0, 120.0, 240.0, 480.0), 240.0, (2.0, 1.5, 1.5, 1.0), 1,
+              (24, 100, 250, 500), 250, 200.0, 1.0)  # fmt: skip
+FULL = Sizes((100, 1_000, 4_000, 16_000, 32_000, 63_000), 32_000, 15,
+             (120.0, 300.0, 600.0, 1_200.0), 600.0, (6.0, 4.0, 3.0, 3.0), 2,
+             (24, 1_000, 4_000, 16_000, 63_000), 4_000, 300.0, 3.0)  # fmt: skip
+
+
+# ---- the decision module alone
+
+
+def module_cost(pipe: Connection, upstreams: int, batches: int) -> None:
+    """Microseconds of the decision module for a request and its answer."""
+    load_arrays()
+    site = Site(Balancer, upstreams)
+    for _ in range(2 * MOST_OUT):
+        site.request()
+    gc.collect()
+    gc.freeze()
+    pipe.send(median(sum(site.request() for _ in range(200)) / 200 for _ in range(batches)))
+
+
+# ---- the whole path
+
+
+@contextmanager
+def balancer(discovery: int, known: Any) -> Iterator[tuple[int, int]]:
+    """The platform's run: its port for clients and its process id, once it is ready."""
+    admin, port = free_port(), free_port()
+    table = config(port, discovery, known) | {"admin_addr": f"127.0.0.1:{admin}"}
+    table["settings"] |= {"registryMode": "subscribe", "nInstances": 1}
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(table))
+        running = subprocess.Popen(
+            [sys.executable, "-m", "quartzford"], cwd=ROOT, stderr=subprocess.DEVNULL, start_new_session=True,
+            env={**os.environ, "EDGE_CONFIG": str(path), "TMPDIR": folder},
+        )  # fmt: skip
+        try:
+            _wait_until_ready(admin, running)
+            yield port, running.pid
+        finally:
+            running.terminate()
+            try:
+                running.wait(END_S)
+            except subprocess.TimeoutExpired:
+                running.kill()
+                running.wait()
+
+
+async def _upstreams(pipe: Connection, count: int) -> None:
+    def make(number: int, books: Books) -> Nodo:
+        return Nodo(f"s{number}", books, capacity=1e6, latency_s=0.0, rng=random.Random(number))
+
+    _, _, registry = await fleet(count, make)
+    pipe.send((registry.port, registry.whole()))
+    await asyncio.get_running_loop().create_future()
+
+
+def serve_upstreams(pipe: Connection, count: int) -> None:
+    """So many stand-in upstreams that answer at once; tells their list service's port and the list."""
+    uvloop.run(_upstreams(pipe, count))
+
+
+@contextmanager
+def upstreams(count: int) -> Iterator[tuple[int, Any]]:
+    """Stand-in upstreams in a process of their own: the list service's port, and the list."""
+    with spawned(serve_upstreams, count) as pipe:
+        yield receive(pipe)
+
+
+def _wait_until_ready(admin: int, running: subprocess.Popen[bytes]) -> None:
+    end = time.monotonic() + READY_S
+    while time.monotonic() < end:
+        if running.poll() is not None:
+            raise MeasureError(f"the balancer ended with {running.returncode}")
+        try:
+            with urllib.request.urlopen(f"http://127.0.0.1:{admin}/status", timeout=1) as answer:
+                if answer.status == 200:
+                    return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise MeasureError(f"the balancer was not ready in {READY_S:g} s")
+
+
+def _played(port: int, rate: float, seconds: float, seed: int) -> dict[str, Any]:
+    """Open-loop arrivals at a rate, the first moments not measured."""
+    load = Load(
+        Target("127.0.0.1", port, opened=8), shape=f"constant:{rate:g}", seconds=WARM_S + seconds,
+        warm_s=WARM_S, seed=seed, kinds=KIND, manners=SINGLE, late_ms=math.inf,
+    )  # fmt: skip
+    result = play(load)
+    if result["interrupted"]:
+        raise KeyboardInterrupt
+    served = sum(count for name, count in result["ends"].items() if name.endswith(" served"))
+    if served != result["ended"] or not served:
+        raise MeasureError(f"not all requests were served: {result['ends']}")
+    return result
+
+
+class Side(NamedTuple):
+    """One load's latencies in ms, and the balancer's processor time and the time around it."""
+
+    p50: float
+    p99: float
+    processor_s: float
+    elapsed_s: float
+    sent: int
+    late_p99: float
+
+
+def _side(port: int, pid: int | None, rate: float, seconds: float, seed: int) -> Side:
+    before, begun = processor_s(pid) if pid is not None else 0.0, time.monotonic()
+    result = _played(port, rate, seconds, seed)
+    elapsed = time.monotonic() - begun
+    spent = processor_s(pid) - before if pid is not None else 0.0
+    row = result["latency_ms"]["all"]
+    return Side(row["p50"], row["p99"], spent, elapsed, result["sent"], result["lateness_ms"]["p99"])
+
+
+def _at_rest(pid: int) -> float:
+    """Seconds of processor time a second while nothing is asked of it."""
+    time.sleep(SETTLE_S)
+    before = processor_s(pid)
+    time.sleep(REST_S)
+    return (processor_s(pid) - before) / REST_S
+
+
+def _request_us(side: Side, at_rest: float) -> float:
+    return (side.processor_s - at_rest * side.elapsed_s) / side.sent * 1e6
+
+
+def path_by_rate(sizes: Sizes) -> dict[float, dict[str, float]]:
+    """What the HTTP path adds at each rate: the median of rounds of balancer and upstream in turns."""
+    out = {}
+    with upstreams(SERVICE_UPSTREAMS) as (discovery, known):
+        straight = int(known["hosts"][0]["dial"].rpartition(":")[2])
+        with balancer(discovery, known) as (port, pid):
+            rest = _at_rest(pid)
+            for rate, seconds in zip(sizes.rates, sizes.seconds, strict=True):
+                sides = [
+                    (_side(port, pid, rate, seconds, seed), _side(straight, None, rate, seconds, seed))
+                    for seed in range(1, sizes.rounds + 1)
+                ]
+                out[rate] = _added(sides, rest)
+    return out
+
+
+def _added(sides: Sequence[tuple[Side, Side]], rest: float) -> dict[str, float]:
+    return {
+        "p50_ms": median(through.p50 for through, _ in sides),
+        "p99_ms": median(through.p99 for through, _ in sides),
+        "straight_p50_ms": median(straight.p50 for _, straight in sides),
+        "straight_p99_ms": median(straight.p99 for _, straight in sides),
+        "added_p50_ms": median(through.p50 - straight.p50 for through, straight in sides),
+        "added_p99_ms": median(through.p99 - straight.p99 for through, straight in sides),
+        "late_p99_ms": max(max(through.late_p99, straight.late_p99) for through, straight in sides),
+        "request_us": median(_request_us(through, rest) for through, _ in sides),
+    }
+
+
+def path_by_upstreams(sizes: Sizes) -> dict[float, float]:
+    """Microseconds of a balancer's processor time for a request, over rest, by the upstreams that it knows.
+
+    The upstreams share the addresses of a few stand-ins; a balancer knows them by name.
+    """
+    out: dict[float, float] = {}
+    with upstreams(FLEET) as (_, fleet):
+        dials = [row["dial"] for row in fleet["hosts"]]
+        for count in sizes.path_upstreams:
+            known = {"seq": 1, "whole": True, "hosts": rows(count, dials)}
+            with source(count, dials) as (discovery, _, _), balancer(discovery, known) as (port, pid):
+                rest = _at_rest(pid)
+                out[count] = _request_us(_side(port, pid, sizes.path_rate, sizes.path_seconds, 1), rest)
+    return out
+
+
+PATH_FIGURES = (
+    ("requests: added at p50", "ms", "added_p50_ms"),
+    ("requests: added at p99", "ms", "added_p99_ms"),
+    ("requests: p50 through the balancer", "ms", "p50_ms"),
+    ("requests: p99 through the balancer", "ms", "p99_ms"),
+    ("requests: p50 straight at the upstream", "ms", "straight_p50_ms"),
+    ("requests: p99 straight at the upstream", "ms", "straight_p99_ms"),
+    ("requests: p99 of the load's own lateness", "ms", "late_p99_ms"),
+    ("requests: processor time of one over rest", "us", "request_us"),
+)
+
+
+def figures(sizes: Sizes) -> list[dict[str, Any]]:
+    """All figures of requests."""
+    modules = {float(n): float(measured(module_cost, n, sizes.batches)) for n in sizes.upstreams}
+    added, whole = path_by_rate(sizes), path_by_upstreams(sizes)
+    out = [
+        figure(ROLE, "requests: processor time of one in the decision module", "us", "upstreams", modules,
+               sizes.kept_upstreams, TARGET_UPSTREAMS),
+        figure(ROLE, "requests: processor time of one in the whole path", "us", "upstreams", whole,
+               sizes.kept_path_upstreams, TARGET_UPSTREAMS),
+    ]  # fmt: skip
+    for name, unit, key in PATH_FIGURES:
+        points = {rate: row[key] for rate, row in added.items()}
+        out.append(figure(ROLE, name, unit, "requests a second", points, sizes.kept_rate, TARGET_RATE))
+    return out
