bench.slopes: the stall at rest and a request's latency by upstreams; remarks on the page are kept

Change: the worst lateness of a tick at rest, p50 and p99 of requests by upstreams; a forecast of a value of 0 has a finite error, so that the JSON stays readable; what is written by hand under the page's marker survives the next run.

Result: tests/test_slopes.py, 14 passed.

--- a/bench/fit.py
+++ b/bench/fit.py
@@ -101,10 +101,10 @@
 
 
 def relative_error(foretold: float, value: float) -> float:
-    """How far off a forecast was, by the value; 0 where both are 0."""
+    """How far off a forecast was, by the value; of a value of 0 by the forecast."""
     if foretold == value:
         return 0.0
-    return abs(foretold - value) / abs(value) if value else math.inf
+    return abs(foretold - value) / abs(value or foretold)
 
 
 def describe(points: Mapping[float, float], kept: float) -> tuple[Fit, KeptOut]:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,7 +21,7 @@
 
 from bench import slopes_configuration, slopes_list, slopes_requests, slopes_services
 from bench.common import report
-from bench.slopes_page import digits, page
+from bench.slopes_page import digits, page, remarks
 from bench.slopes_process import MeasureError
 
 ROW_BYTES = 165  # of a row in the lists that are made here
@@ -130,7 +130,9 @@
         return 130
     report(result, options.json)
     if options.page:
-        Path(options.page).write_text(page(result), encoding="utf-8")
+        path = Path(options.page)
+        kept = remarks(path.read_text(encoding="utf-8")) if path.exists() else ""
+        path.write_text(page(result, kept), encoding="utf-8")
     return 1 if result["failed"] else 0
 
 
--- a/bench/slopes_list.py
+++ b/bench/slopes_list.py
@@ -34,6 +34,7 @@
 SITE_TICK_MS = 5.0
 LINE_BYTES = 64 * 1024 * 1024
 TAKE_IN_S = 60.0
+STALL_WINDOW_S = 1.0
 REST_S = 1.0  # between two measurements, until what they left behind is done
 
 
@@ -169,24 +170,29 @@
     await node.loop.run_in_executor(None, pipe.recv)
     begun, before = time.monotonic(), time.process_time()
     await asyncio.sleep(window_s)
-    pipe.send((time.process_time() - before) / (time.monotonic() - begun))
+    spent = (time.process_time() - before) / (time.monotonic() - begun)
+    ticks = Ticks(node.loop)
+    await asyncio.sleep(STALL_WINDOW_S)
+    pipe.send((spent * 1000, await ticks.worst_ms()))
 
 
 def at_rest(pipe: Connection, port: int, count: int, tick_ms: float, window_s: float) -> None:
-    """Processor time a second of a balancer that has its list and serves nobody."""
+    """Processor time in ms a second of a balancer with its list and no clients, and its worst stall."""
     watch.LINE_BYTES = max(watch.LINE_BYTES, LINE_BYTES)
     uvloop.run(_at_rest(pipe, port, count, tick_ms, window_s))
 
 
-def rest_ms_per_s(count: int, window_s: float, tick_ms: float = SITE_TICK_MS, per_s: float = 0.0) -> float:
-    """Milliseconds of processor time a second at rest; per_s: single rows changed a second."""
+def rest_costs(
+    count: int, window_s: float, tick_ms: float = SITE_TICK_MS, per_s: float = 0.0
+) -> tuple[float, float]:
+    """Milliseconds of processor time a second at rest, and the worst stall; per_s: rows changed a second."""
     with source(count) as (port, _, orders), spawned(at_rest, port, count, tick_ms, window_s) as pipe:
         receive(pipe)
         if per_s:
             orders.send(("rate", per_s))
         pipe.send("begin")
-        spent: float = receive(pipe)
-    return spent * 1000
+        spent, stall = receive(pipe)
+    return float(spent), float(stall)
 
 
 def costs_by_size(sizes: Sizes, extra: bool = True) -> dict[int, dict[str, float]]:
@@ -238,11 +244,15 @@
 
 def _rest_figures(sizes: Sizes) -> list[dict[str, Any]]:
     window, unit = sizes.window_s, "ms/s"
-    by_size: dict[float, float] = {n: rest_ms_per_s(n, window) for n in sizes.upstreams}
-    by_tick = {t: rest_ms_per_s(sizes.rest_upstreams, window, tick_ms=t) for t in sizes.tick_ms}
-    by_rate = {r: rest_ms_per_s(sizes.rest_upstreams, window, per_s=r) for r in sizes.per_s}
+    by_size = {float(n): rest_costs(n, window) for n in sizes.upstreams}
+    spent = {n: cost for n, (cost, _) in by_size.items()}
+    stalls = {n: stall for n, (_, stall) in by_size.items()}
+    by_tick = {t: rest_costs(sizes.rest_upstreams, window, tick_ms=t)[0] for t in sizes.tick_ms}
+    by_rate = {r: rest_costs(sizes.rest_upstreams, window, per_s=r)[0] for r in sizes.per_s}
     return [
-        figure(ROLE, "rest: processor time", unit, "upstreams", by_size, sizes.kept_upstreams,
+        figure(ROLE, "rest: processor time", unit, "upstreams", spent, sizes.kept_upstreams,
+               TARGET_UPSTREAMS),
+        figure(ROLE, "rest: longest stall of the loop", "ms", "upstreams", stalls, sizes.kept_upstreams,
                TARGET_UPSTREAMS),
         figure(ROLE, "rest: processor time by tickMs", unit, "ms of a tick", by_tick, sizes.kept_tick_ms,
                SITE_TICK_MS),
--- a/bench/slopes_page.py
+++ b/bench/slopes_page.py
@@ -21,6 +21,7 @@
 stand-in of `standins/listservice.py`, in Python too: its figures are what the protocol costs there, not the
 platform's own.
 """
+MARKER = "<!-- remarks: written by hand, kept when the page is written anew -->"
 COLUMNS = (
     "figure",
     "by",
@@ -102,8 +103,13 @@
     )
 
 
-def page(result: Mapping[str, Any]) -> str:
-    """The whole page."""
+def remarks(text: str) -> str:
+    """What somebody wrote under the marker of a page, to be kept when it is written anew."""
+    return text.partition(MARKER)[2].strip()
+
+
+def page(result: Mapping[str, Any], remarks: str = "") -> str:
+    """The whole page; remarks: written by hand, at its end."""
     machine, figures = result["machine"], result["figures"]
     text = [HEAD.format(error=LINE_ERROR)]
     text.append(_machine(machine) + f" The run took {result['seconds']:.0f} s.")
@@ -112,4 +118,5 @@
     text += _tables(figures) + _not_lines(figures)
     text += ["\n## Notes\n", *(f"- {note}" for note in result["notes"])]
     text += [f"- Not measured, failed: {one['group']}: {one['error']}" for one in result["failed"]]
-    return "\n".join(text) + "\n"
+    text += [f"\n{MARKER}\n", *([remarks] if remarks else [])]
+    return "\n".join(text).rstrip() + "\n"
--- a/bench/slopes_requests.py
+++ b/bench/slopes_requests.py
@@ -228,19 +228,21 @@
     }
 
 
-def path_by_upstreams(sizes: Sizes) -> dict[float, float]:
-    """Microseconds of a balancer's processor time for a request, over rest, by the upstreams that it knows.
+def path_by_upstreams(sizes: Sizes) -> dict[float, dict[str, float]]:
+    """A request's processor time over rest, and its latency, by the upstreams that a balancer knows.
 
     The upstreams share the addresses of a few stand-ins; a balancer knows them by name.
     """
-    out: dict[float, float] = {}
+    out: dict[float, dict[str, float]] = {}
     with upstreams(FLEET) as (_, fleet):
         dials = [row["dial"] for row in fleet["hosts"]]
         for count in sizes.path_upstreams:
             known = {"seq": 1, "whole": True, "hosts": rows(count, dials)}
             with source(count, dials) as (discovery, _, _), balancer(discovery, known) as (port, pid):
                 rest = _at_rest(pid)
-                out[count] = _request_us(_side(port, pid, sizes.path_rate, sizes.path_seconds, 1), rest)
+                side = _side(port, pid, sizes.path_rate, sizes.path_seconds, 1)
+                cost = _request_us(side, rest)
+                out[count] = {"request_us": cost, "p50_ms": side.p50, "p99_ms": side.p99}
     return out
 
 
@@ -256,16 +258,22 @@
 )
 
 
+UPSTREAM_FIGURES = (
+    ("requests: processor time of one in the whole path", "us", "request_us"),
+    ("requests: p50 by upstreams", "ms", "p50_ms"),
+    ("requests: p99 by upstreams", "ms", "p99_ms"),
+)
+
+
 def figures(sizes: Sizes) -> list[dict[str, Any]]:
     """All figures of requests."""
     modules = {float(n): float(measured(module_cost, n, sizes.batches)) for n in sizes.upstreams}
     added, whole = path_by_rate(sizes), path_by_upstreams(sizes)
-    out = [
-        figure(ROLE, "requests: processor time of one in the decision module", "us", "upstreams", modules,
-               sizes.kept_upstreams, TARGET_UPSTREAMS),
-        figure(ROLE, "requests: processor time of one in the whole path", "us", "upstreams", whole,
-               sizes.kept_path_upstreams, TARGET_UPSTREAMS),
-    ]  # fmt: skip
+    name = "requests: processor time of one in the decision module"
+    out = [figure(ROLE, name, "us", "upstreams", modules, sizes.kept_upstreams, TARGET_UPSTREAMS)]
+    for name, unit, key in UPSTREAM_FIGURES:
+        points = {count: row[key] for count, row in whole.items()}
+        out.append(figure(ROLE, name, unit, "upstreams", points, sizes.kept_path_upstreams, TARGET_UPSTREAMS))
     for name, unit, key in PATH_FIGURES:
         points = {rate: row[key] for rate, row in added.items()}
         out.append(figure(ROLE, name, unit, "requests a second", points, sizes.kept_rate, TARGET_RATE))
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -12,7 +12,7 @@
 
 from bench import slopes, slopes_list, slopes_services
 from bench.fit import CONSTANT, LINE, N_LOG_N, POWER, describe, figure, line
-from bench.slopes_page import page
+from bench.slopes_page import page, remarks
 from bench.slopes_process import MeasureError, measured, receive, spawned
 
 SIZES = (1_000.0, 4_000.0, 16_000.0, 32_000.0, 63_000.0)
@@ -136,5 +136,6 @@
     result = slopes.measure(True, [])
     assert [one["role"] for one in result["figures"]] == ["balancer", "list service"]
     assert result["failed"] == [{"group": "two", "error": "by intent"}]
-    text = page(result)
+    text = page(result, "Said by hand.")
     assert "| memory | upstreams | 300, 600, 900, 1,200 |" in text and "two: by intent" in text
+    assert remarks(text) == "Said by hand."
