--- a/bench/slopes_list.py
+++ b/bench/slopes_list.py
@@ -34,7 +34,7 @@
 SITE_TICK_MS = 5.0
 LINE_BYTES = 64 * 1024 * 1024
 TAKE_IN_S = 60.0
-STALL_WINDOW_S = 1.0
+STALL_WINDOW_S = 3.0  # full collections of garbage are seconds apart at rest
 REST_S = 1.0  # between two measurements, until what they left behind is done
 
 
@@ -161,7 +161,9 @@
     uvloop.run(_list_costs(pipe, port, orders, count, changes))
 
 
-async def _at_rest(pipe: Connection, port: int, count: int, tick_ms: float, window_s: float) -> None:
+async def _at_rest(
+    pipe: Connection, port: int, count: int, tick_ms: float, window_s: float, stall_s: float
+) -> None:
     load_arrays()
     node = quiet_node(balancer_config(port, tick_ms))
     await _taken_in(node, count)
@@ -172,21 +174,28 @@
     await asyncio.sleep(window_s)
     spent = (time.process_time() - before) / (time.monotonic() - begun)
     ticks = Ticks(node.loop)
-    await asyncio.sleep(STALL_WINDOW_S)
+    await asyncio.sleep(stall_s)
     pipe.send((spent * 1000, await ticks.worst_ms()))
 
 
-def at_rest(pipe: Connection, port: int, count: int, tick_ms: float, window_s: float) -> None:
+def at_rest(pipe: Connection, port: int, count: int, tick_ms: float, window_s: float, stall_s: float) -> None:
     """Processor time in ms a second of a balancer with its list and no clients, and its worst stall."""
     watch.LINE_BYTES = max(watch.LINE_BYTES, LINE_BYTES)
-    uvloop.run(_at_rest(pipe, port, count, tick_ms, window_s))
+    uvloop.run(_at_rest(pipe, port, count, tick_ms, window_s, stall_s))
 
 
 def rest_costs(
-    count: int, window_s: float, tick_ms: float = SITE_TICK_MS, per_s: float = 0.0
+    count: int,
+    window_s: float,
+    tick_ms: float = SITE_TICK_MS,
+    per_s: float = 0.0,
+    stall_s: float = 0.0,
 ) -> tuple[float, float]:
     """Milliseconds of processor time a second at rest, and the worst stall; per_s: rows changed a second."""
-    with source(count) as (port, _, orders), spawned(at_rest, port, count, tick_ms, window_s) as pipe:
+    with (
+        source(count) as (port, _, orders),
+        spawned(at_rest, port, count, tick_ms, window_s, stall_s) as pipe,
+    ):
         receive(pipe)
         if per_s:
             orders.send(("rate", per_s))
@@ -244,7 +253,7 @@
 
 def _rest_figures(sizes: Sizes) -> list[dict[str, Any]]:
     window, unit = sizes.window_s, "ms/s"
-    by_size = {float(n): rest_costs(n, window) for n in sizes.upstreams}
+    by_size = {float(n): rest_costs(n, window, stall_s=STALL_WINDOW_S) for n in sizes.upstreams}
     spent = {n: cost for n, (cost, _) in by_size.items()}
     stalls = {n: stall for n, (_, stall) in by_size.items()}
     by_tick = {t: rest_costs(sizes.rest_upstreams, window, tick_ms=t)[0] for t in sizes.tick_ms}
