--- a/bench/scale.py
+++ b/bench/scale.py
@@ -1,4 +1,4 @@
-"""Scale runs: python -m bench.scale [--quick | --small] [--only NAME ...] [--json FILE]
+"""Scale runs: python -m bench.scale [--quick | --small] [--only NAME ...] [--json FILE [--add]]
 
 Real balancers under load beside hollow ones, before (each asks the list service itself) and after (relays of
 lists between), with a list service that works through fifty calls a second. Sizes: --small 4 real and 40
@@ -16,6 +16,7 @@
 import sys
 import time
 from dataclasses import replace
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from bench.common import report
@@ -277,12 +278,23 @@
     return good
 
 
+def together(found: list[dict[str, Any]], path: str | None) -> list[dict[str, Any]]:
+    """These runs, and those that a file of an earlier call holds of other names, in the order of sizes."""
+    names = {run["run"] for run in found}
+    earlier = json.loads(Path(path).read_text())["runs"] if path and Path(path).exists() else []
+    order = [f"{size.name} {way}" for size in (*SMALL, *FULL) for way in ("before", "after")]
+    order.append("63000 rows")
+    kept = [run for run in earlier if run["run"] not in names]
+    return sorted([*kept, *found], key=lambda run: order.index(run["run"]))
+
+
 def main() -> int:
     """The command line."""
     parser = argparse.ArgumentParser(prog="python -m bench.scale")
     parser.add_argument("--quick", action="store_true", help="20 real beside 200 and 1,000 hollow")
     parser.add_argument("--small", action="store_true", help="4 real beside 40 hollow")
     parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--add", action="store_true", help="the file's runs of other names stay in it")
     parser.add_argument("--only", nargs="*", default=[], metavar="RUN", help="such as '200 after'")
     parser.add_argument("--share", choices=SHARES, default="", help="what hollow ones share")
     parser.add_argument("--seed", type=int, default=1)
@@ -292,8 +304,9 @@
     found = [run for name, plan in chosen if (run := played(name, plan)) is not None]
     for run in found:
         run["checks"] = [check._asdict() | {"kept": check.kept()} for check in checks(run)]
-    rows = [row for run in found for row in page_rows(run)]
-    report({"per_s": PER_S, "seed": options.seed, "events": rows, "runs": found}, options.json)
+    whole = together(found, options.json if options.add else None)
+    rows = [row for run in whole for row in page_rows(run)]
+    report({"per_s": PER_S, "seed": options.seed, "events": rows, "runs": whole}, options.json)
     good = verdict(found)
     print(f"scale: {len(found)} of {len(chosen)} runs, bounds {'kept' if good else 'NOT KEPT'}")
     return 0 if good and len(found) == len(chosen) else 1
