Rename lap to spread interval in the policies of calls, the model of calls and docs

"Lap" was a word of our own for the time over which a fleet's calls are spread; a newcomer had to learn it. The policies "lap" and "lap, full jitter" of bench.callmodel are called "spread" and "spread, full jitter". The model seeds its random numbers with the policy's name, so the earlier names stay in the seed: the recorded figures are played again as they were.

--- a/bench/callmodel.py
+++ b/bench/callmodel.py
@@ -94,14 +94,14 @@
 
 
 class Bucket(Agent):
-    """A bucket of tokens of this balancer's part of the service: one at the start, the next a lap later."""
+    """A bucket of tokens of this balancer's part of the service: one at the start, then one an interval."""
 
     def __init__(self, rng: random.Random, balancers: int) -> None:
         super().__init__(rng, GRACE_S)
-        self.lap = balancers / PER_S
+        self.interval = balancers / PER_S
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
-        return 0.0 if end is End.DONE else max(self.lap, backoff(self.tries, self.rng))
+        return 0.0 if end is End.DONE else max(self.interval, backoff(self.tries, self.rng))
 
 
 class Patient(Agent):
@@ -111,13 +111,15 @@
         return 3_600.0
 
 
-class FullLap(Shared):
-    """The policy in force with full jitter over two laps in place of a lap, more or less."""
+class FullJitterSpread(Shared):
+    """The policy in force with full jitter over two spread intervals in place of about one."""
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         wait = super().after(end, took, retry_after)
-        lap = 2.0 * self.lap * self.stretch
-        return wait if wait < self.lap / 2 else max(backoff(self.tries, self.rng), self.rng.random() * lap)
+        if wait < self.spread_interval / 2:
+            return wait
+        interval = 2.0 * self.spread_interval * self.stretch
+        return max(backoff(self.tries, self.rng), self.rng.random() * interval)
 
 
 Make = Callable[[random.Random, int, Callable[[], float]], Calls]
@@ -127,9 +129,11 @@
     "full jitter": lambda rng, n, now: Jitter(rng, GRACE_S),
     "decorrelated": lambda rng, n, now: Decorrelated(rng, GRACE_S),
     "bucket": lambda rng, n, now: Bucket(rng, n),
-    "lap, full jitter": lambda rng, n, now: FullLap(n, PER_S, ASK_S, rng, now),
-    "lap": lambda rng, n, now: Shared(n, PER_S, ASK_S, rng, now),
+    "spread, full jitter": lambda rng, n, now: FullJitterSpread(n, PER_S, ASK_S, rng, now),
+    "spread": lambda rng, n, now: Shared(n, PER_S, ASK_S, rng, now),
 }
+# The recorded figures were drawn with these names in the seed: the same seed plays the same run as then.
+SEED_NAMES = {"spread, full jitter": "lap, full jitter", "spread": "lap"}
 
 
 @dataclass(eq=False)
@@ -162,7 +166,8 @@
     busy: bool = False
 
     def __post_init__(self) -> None:
-        self.rng = random.Random(f"{self.seed} {self.policy} {self.trouble.name}")
+        seed_name = SEED_NAMES.get(self.policy, self.policy)
+        self.rng = random.Random(f"{self.seed} {seed_name} {self.trouble.name}")
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.order = count()
         self.life = 0  # of the service
@@ -312,13 +317,13 @@
     sizes = (12, 60, 200, 1_000) if options.quick else SIZES
     rows = []
     names = ("served", "all_after_s", "calls", "calls_down", "most_1s", "most_100ms")
-    print(f"{'service':18} {'N':>6} {'policy':17}", *(f"{name:>11}" for name in names))
+    print(f"{'service':18} {'N':>6} {'policy':19}", *(f"{name:>11}" for name in names))
     for trouble in TROUBLES:
         for size in sizes:
-            for policy in POLICIES if size <= 1_000 else ("before", "lap"):
+            for policy in POLICIES if size <= 1_000 else ("before", "spread"):
                 row = Model(policy, trouble, size, until=max(45.0, 6 * size / PER_S) + 40).run()
                 rows.append(row)
-                print(f"{trouble.name:18} {size:6} {policy:17}", *(f"{row[name]:11}" for name in names))
+                print(f"{trouble.name:18} {size:6} {policy:19}", *(f"{row[name]:11}" for name in names))
     report({"rows": rows}, options.json)
     return 0
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -78,7 +78,7 @@
 def play_calls(balancers: int) -> dict[str, Any]:
     """The policy in force with each balancer asking the list service itself, at one size."""
     rows = [
-        Model("lap", trouble, balancers, until=6 * balancers / PER_S + 40).run()
+        Model("spread", trouble, balancers, until=6 * balancers / PER_S + 40).run()
         for trouble in TROUBLES
         if trouble.name in CALL_SERVICES
     ]
--- a/bench/coldstart.py
+++ b/bench/coldstart.py
@@ -88,7 +88,7 @@
         "rules": {name: count for name, count in result["rules"].items() if count},
         "kept": result["kept"], "crashes": result["crashes"], "calls_s": calls, "times_s": times,
         "goodput_s": [row["goodput"] for row in result["seconds"]],
-        "model": modelled(case, balancers, "before" if old else "lap"),
+        "model": modelled(case, balancers, "before" if old else "spread"),
     }  # fmt: skip
 
 
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -57,10 +57,10 @@
 
 def moments(size: Size, rows: int, relays: int, window: float = 6.0) -> tuple[Moment, ...]:
     """The events in their order, each behind the one before."""
-    lap = 0.0 if relays else 1.25 * (size.real + size.hollow) / PER_S
+    spread_interval = 0.0 if relays else 1.25 * (size.real + size.hollow) / PER_S
     zone = max(1, rows // 15)
     listed = [
-        Moment(0.0, "all start", window=START_S + lap),
+        Moment(0.0, "all start", window=START_S + spread_interval),
         Moment(0.0, "quiet"),
         Moment(0.0, "one upstream gone", "change", rows=1, gone=True),
         Moment(0.0, "one upstream replaced", "change", rows=1),
@@ -68,15 +68,15 @@
         Moment(0.0, "rack back", "change", rows=min(RACK, rows)),
         Moment(0.0, "zone", "change", rows=zone, first=rows // 3, gone=True),
         Moment(0.0, "zone back", "change", rows=zone, first=rows // 3),
-        Moment(0.0, "source down", "down", window=size.down_s + 8.0 + lap, span=size.down_s),
+        Moment(0.0, "source down", "down", window=size.down_s + 8.0 + spread_interval, span=size.down_s),
     ]
     if relays:
         listed.append(Moment(0.0, "relay killed", "kill", window=8.0, rows=RACK, count=1))
     if relays > 4:
         listed.append(Moment(0.0, "three relays killed", "kill", window=8.0, rows=RACK, count=3))
     if size.cut:
-        listed.append(Moment(0.0, "cut off", "cut", window=68.0 + lap, span=60.0))
-    if relays:  # and now the list service is asked by all, in their lap
+        listed.append(Moment(0.0, "cut off", "cut", window=68.0 + spread_interval, span=60.0))
+    if relays:  # and now the list service is asked by all, over their spread interval
         own = 1.25 * (size.real + size.hollow) / PER_S
         listed.append(Moment(0.0, ALL_KILLED, "kill", window=12.0 + own, rows=RACK, count=relays))
     placed, at = [], 0.0
--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -9,12 +9,13 @@
 nobody anything, and the sooner the better. `Shared` is for one service that all balancers of a fleet ask. It
 bounds what they ask of it together, though no balancer knows what another does:
 
-- The first call of a start is put at a moment drawn evenly from a lap, the time in which the service can
-  answer one call of each balancer. A small fleet has no lap: its calls go out at once. A balancer that dies
-  again within a lap of each start calls once in a lap on average, its share, however often it starts.
-- After a failure the next call follows a lap later, more or less: calls that were spread stay spread, and the
-  fleet's rate stays that of one lap. (Full jitter would let a third of a fleet come in a quarter of the lap.)
-- What turns calls away, or lets them wait for nothing, is asked in longer laps until it has answered.
+- The first call of a start is put at a moment drawn evenly from the spread interval, the time in which the
+  service can answer one call of each balancer. It is 0 for a small fleet: its calls go out at once. A
+  balancer that dies again within the interval of each start calls once in an interval on average, its share,
+  however often it starts.
+- After a failure the next call follows about one spread interval later: calls that were spread stay spread,
+  and the fleet's rate stays the same. (Full jitter would let a third of a fleet come in a quarter of it.)
+- What turns calls away, or lets them wait for nothing, is asked at longer intervals until it has answered.
 - A call that was accepted and is late is kept beside the next one, for KEPT_S: a service that works through a
   long queue answers it in its turn, and to leave would make that work for nobody.
 
@@ -34,13 +35,13 @@
 ANSWER_S = 1.5  # an agent's whole answer, from the connection on
 QUEUE_S = 2.0  # the same of a service that all ask: calls wait in turn there
 LINE_S = 2.75  # between two whole lines of a watch, which says something every two seconds
-RETRY_S = (0.05, 1.0)  # from one failed call to the next where no lap is longer, doubling
+RETRY_S = (0.05, 1.0)  # from one failed call to the next where the spread interval is not longer, doubling
 GRACE_PART = 0.4  # of the time that sends to what drains may go on, that an agent may be left unasked
 SMALL = 16  # so many balancers may call at once
-WAIT_SPREAD = (0.75, 1.25)  # of a lap, from a failed call to the next
+WAIT_SPREAD = (0.75, 1.25)  # of the spread interval, from a failed call to the next
 WAIT_BOUND = (0.8, 1.0)  # of the longest wait that TOLD_S leaves
 KEPT_S = 60.0  # a call that was accepted may still be answered for so long
-STRETCH, STRETCH_MOST = 1.5, 16.0  # laps grow by this with each call that the service could not bear
+STRETCH, STRETCH_MOST = 1.5, 16.0  # the interval grows by this with each call that the service could not bear
 
 
 class End(Enum):
@@ -158,40 +159,40 @@
         self.rng, self.now = rng, now
         self.configure(balancers, per_s, most_wait)
         self.tries = 0
-        self.stretch = 1.0  # of the lap
+        self.stretch = 1.0  # factor on the spread interval
         self.unread_until = -math.inf  # till then an answer of no use is not followed by a call at once
 
     def configure(self, balancers: int, per_s: float, most_wait: float) -> None:
         """New settings; what was learnt of the service stays."""
-        self.lap = max(0, balancers - SMALL) / per_s
+        self.spread_interval = max(0, balancers - SMALL) / per_s
         self.most_wait = most_wait
 
     def first(self) -> float:
         """Wait before the first call, in seconds: drawn from the spread interval of the fleet."""
         self.tries = 0
-        return self.rng.random() * min(self.lap, TOLD_S - QUEUE_S)
+        return self.rng.random() * min(self.spread_interval, TOLD_S - QUEUE_S)
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         """Wait before the next call, in seconds: spread over the fleet, under the bound of the list's age."""
         if end is End.DONE:
             return 0.0
         if end is End.UNREAD and self.now() >= self.unread_until:  # again and again, it is a failure
-            self.unread_until = self.now() + max(RETRY_S[1], self.lap)
+            self.unread_until = self.now() + max(RETRY_S[1], self.spread_interval)
             return 0.0
-        lap = self.lap * self.stretch
+        interval = self.spread_interval * self.stretch
         most = max(0.0, min(self.most_wait, TOLD_S - QUEUE_S - took))
         if end is End.LOST:  # all watches end in one moment when the service does
-            return max(self.rng.random() * min(lap, most), min(most, backoff(0, self.rng)))
+            return max(self.rng.random() * min(interval, most), min(most, backoff(0, self.rng)))
         if end is End.TURNED_AWAY or end is End.SILENT:
             self.stretch = min(STRETCH_MOST, self.stretch * STRETCH)
         alone = backoff(self.tries, self.rng)
         self.tries = min(self.tries + 1, 10)
         # Drawn under the bound, and not cut at it: who is cut comes together with all others.
         most *= self.rng.uniform(*WAIT_BOUND)
-        wait = max(alone, self.lap * self.stretch * self.rng.uniform(*WAIT_SPREAD))
+        wait = max(alone, self.spread_interval * self.stretch * self.rng.uniform(*WAIT_SPREAD))
         if retry_after > 0:
             # Told to all alike: who came together would come back together.
-            wait = max(wait, retry_after + self.rng.random() * self.lap * self.stretch)
+            wait = max(wait, retry_after + self.rng.random() * self.spread_interval * self.stretch)
         return min(wait, most)
 
     def connect(self) -> float:
--- a/quartzford/membership/relaycalls.py
+++ b/quartzford/membership/relaycalls.py
@@ -7,9 +7,9 @@
 
 - Where each relay has failed and one of them has turned a call away, it lives and has lost the source: the
   list in use stays, and calls go round so that each relay is asked again within the six seconds.
-- Where all are gone the source is asked directly, at a moment drawn evenly from the fleet's lap (the time in
-  which it can answer one call of each balancer) and a lap later again, not cut at six seconds: the fleet asks
-  it no more often than it can bear. The relays go on being tried meanwhile.
+- Where all are gone the source is asked directly, at a moment drawn evenly from the fleet's spread interval
+  (the time in which it can answer one call of each balancer) and one interval later again, not cut at six
+  seconds: the fleet asks it no more often than it can bear. The relays go on being tried meanwhile.
 - Who stands elsewhere than at its first relay tries a better place after a time drawn from RETURN_S, beside
   the watch that stands.
 
@@ -76,12 +76,12 @@
     def configure(self, balancers: int, per_s: float, most_wait: float) -> None:
         """New settings; what was learnt of relays and service stays."""
         super().configure(balancers, per_s, most_wait)
-        self.relay_lap = max(0.0, balancers / len(self.relays.order) - SMALL) / RELAY_CALLS_PER_S
+        self.relay_spread_interval = max(0.0, balancers / len(self.relays.order) - SMALL) / RELAY_CALLS_PER_S
 
     def first(self) -> float:
         """A wait drawn from the time in which a relay can answer all of its balancers."""
         self.tries = 0
-        return self.rng.random() * min(self.relay_lap, TOLD_S - QUEUE_S)
+        return self.rng.random() * min(self.relay_spread_interval, TOLD_S - QUEUE_S)
 
     def connect(self) -> float:
         """As long as the place that was chosen last may take."""
@@ -132,7 +132,7 @@
         pace = max(0.0, TOLD_S - RELAY_LINE_S - sum(self.costs)) / count * self.rng.uniform(*WAIT_BOUND)
         alone = backoff(self.tries, self.rng)
         self.tries = min(self.tries + 1, 10)
-        return max(RETRY_S[0], min(pace, max(alone, self.relay_lap, later / count)))
+        return max(RETRY_S[0], min(pace, max(alone, self.relay_spread_interval, later / count)))
 
     def _direct_failed(self, end: End) -> None:
         if end is End.TURNED_AWAY or end is End.SILENT:
@@ -145,11 +145,11 @@
             return wait
         now = self.now()
         if self.direct_at is None:
-            self.direct_at = max(self.direct_free, now + self.rng.random() * self.lap)
+            self.direct_at = max(self.direct_free, now + self.rng.random() * self.spread_interval)
         if self.direct_at > now + wait:
             return wait
         wait = max(0.0, self.direct_at - now)
-        lap = max(RETRY_S[1], self.lap) * self.stretch
-        self.direct_at = self.direct_free = now + wait + lap * self.rng.uniform(*WAIT_SPREAD)
+        interval = max(RETRY_S[1], self.spread_interval) * self.stretch
+        self.direct_at = self.direct_free = now + wait + interval * self.rng.uniform(*WAIT_SPREAD)
         self.relays.direct = True
         return wait
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -35,7 +35,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_two_hundred_balancers_all_get_the_list_and_ask_no_more_than_it_bears(name: str, seed: int) -> None:
     trouble = TROUBLE[name]
-    row = Model("lap", trouble, 200, seed=seed).run()
+    row = Model("spread", trouble, 200, seed=seed).run()
     wanted = 200 - int(200 * trouble.looping)
     assert row["served"] == wanted
     if trouble.rate == 1.0 and not trouble.looping:
@@ -60,24 +60,25 @@
     def after(policy: str) -> float:
         return sum(Model(policy, TROUBLE[name], 12, seed=seed).run()["all_after_s"] for seed in range(60))
 
-    assert after("lap") <= 1.1 * after("before")
+    assert after("spread") <= 1.1 * after("before")
 
 
 def test_well_balancers_are_not_slowed_by_those_that_loop() -> None:
     def latest(name: str) -> float:
-        return max(Model("lap", TROUBLE[name], 200, seed=seed).run()["all_after_s"] for seed in range(5))
+        return max(Model("spread", TROUBLE[name], 200, seed=seed).run()["all_after_s"] for seed in range(5))
 
     assert latest("a quarter loops") <= latest("queues") + 1.0
 
 
 @pytest.mark.parametrize("life_s", [0.3, 1.0, 3.0])
 def test_one_that_dies_again_and_again_calls_no_more_than_its_share(life_s: float) -> None:
-    """No disk remembers its calls; that each start draws its moment from a whole lap does."""
+    """No disk remembers its calls; that each start draws its moment from the whole spread interval does."""
     for balancers in (150, 200):
-        lap = min(shared(balancers).lap, TOLD_S - QUEUE_S)  # a longer one would tell a change too late
+        # A longer one would tell a change too late.
+        interval = min(shared(balancers).spread_interval, TOLD_S - QUEUE_S)
         starts = 4_000
         calls = sum(shared(balancers, seed).first() < life_s for seed in range(starts))
-        assert calls / (starts * life_s) <= 1.1 / lap
+        assert calls / (starts * life_s) <= 1.1 / interval
 
 
 def test_equal_names_and_equal_seeds_do_not_call_in_step() -> None:
@@ -166,16 +167,16 @@
     assert calls.after(End.UNREAD, 0.0) == 0.0
 
 
-def test_discovery_moved_under_all_is_asked_over_a_lap() -> None:
+def test_discovery_moved_under_all_is_asked_over_a_spread_interval() -> None:
     firsts = sorted(shared(200, seed).first() for seed in range(200))
-    lap = min(184 / 50.0, TOLD_S - QUEUE_S)
+    interval = min(184 / 50.0, TOLD_S - QUEUE_S)
     for tenth in range(10):
-        inside = sum(tenth * lap / 10 <= f < (tenth + 1) * lap / 10 for f in firsts)
+        inside = sum(tenth * interval / 10 <= f < (tenth + 1) * interval / 10 for f in firsts)
         assert 8 <= inside <= 36
 
 
 def test_the_model_counts_what_it_is_told_to() -> None:
     """One balancer, one service: each figure is known."""
-    row = Model("lap", Trouble("one", downs=((0.0, 2.0),)), 1).run()
+    row = Model("spread", Trouble("one", downs=((0.0, 2.0),)), 1).run()
     assert row["served"] == 1 and row["answers"] == 1 and 0.0 < row["all_after_s"] < 1.1
     assert row["calls"] - row["calls_down"] == 1
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -61,7 +61,7 @@
 
 
 def test_one_that_dies_after_each_start_takes_no_more_than_its_share() -> None:
-    """Two loop; the lap of a fleet of a hundred is 1.7 s, and they live for one."""
+    """Two loop; the spread interval of a fleet of a hundred is 1.7 s, and they live for one."""
     events = "0.8 loop nodes[:2] every 1 until 5"
     result = played(events=events, settings={"nInstances": 100}, seconds=6.0)
     assert result["serving"] >= 8
--- a/tests/test_relay_chain.py
+++ b/tests/test_relay_chain.py
@@ -354,7 +354,7 @@
 
 
 async def all_relays_gone() -> None:
-    """A lap is 92 s in a fleet of 4,600, 2 s in one of 116 that is not let in, none in one of ten."""
+    """The spread interval: 92 s in a fleet of 4,600, 2 s in one of 116 that is not let in, 0 in one of 10."""
     async with site(2, rows(20)) as at:
         closed = await at.gate(at.direct.target)
         closed.refusing = True
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -152,8 +152,8 @@
 
 @run
 async def test_a_change_is_acted_on_within_six_seconds_of_discovery_having_it() -> None:
-    """Pushed, and asked by two hundred. Bytes that told nothing kept a call alive for good; Retry-After, laps
-    and patience were followed for longer."""
+    """Pushed, and asked by two hundred. Bytes that told nothing kept a call alive for good; Retry-After,
+    spread intervals and patience were followed for longer."""
     rows: dict[str, Any] = {}
     for asked in (False, True):
         way = "asked" if asked else "pushed"
