Plain names for the answered call, the bound on changes and the pieces pending

TOLD_S is NOTIFY_BOUND_S; Call.told is answered; heard of a watch and of the relays' addresses is ever_answered; the control side's told is first_list_adopted and its news are pending; _as_kept is _snapshot_listing; Node.told_by_hand is apply_by_hand. The line that puts a list through the subset, repeated three times, is one small method. The field `heard` of the state handed to a new process and all names on the wire stay.

No behaviour is changed.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -32,7 +32,7 @@
 from bench.capacity_model import Model as Capacity
 from bench.common import ROOT
 from quartzford.decision.workingset import LEAST, MEET_MS
-from quartzford.membership.calls import QUEUE_S, SMALL, TOLD_S
+from quartzford.membership.calls import NOTIFY_BOUND_S, QUEUE_S, SMALL
 from quartzford.membership.watch import LINE_BYTES
 from quartzford.node import LISTS_PER_S
 
@@ -48,7 +48,7 @@
 def program() -> Program:
     """The bounds in this checkout's code."""
     return Program(
-        calls_per_s=LISTS_PER_S, spread_s=TOLD_S - QUEUE_S, small=SMALL, line_bytes=LINE_BYTES,
+        calls_per_s=LISTS_PER_S, spread_s=NOTIFY_BOUND_S - QUEUE_S, small=SMALL, line_bytes=LINE_BYTES,
         meet_s=MEET_MS / 1000.0, least_used=LEAST, log_lines_per_s=LOG_LINES_PER_S,
         relay=importlib.util.find_spec("quartzford.relay") is not None,
     )  # fmt: skip
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -198,7 +198,7 @@
     async def settled(count: int, born: float, version: int) -> None:
         """Until this version is taken in, whole; its outcome is checked then, once."""
         end = time.monotonic() + 30
-        while node.watch.version != version or node.news.waiting():
+        while node.watch.version != version or node.pending.waiting():
             await asyncio.sleep(0.005)
             if time.monotonic() > end:
                 raise RuntimeError("the list was not taken in")
--- a/quartzford/control.py
+++ b/quartzford/control.py
@@ -29,7 +29,7 @@
 
 
 class Follower(Protocol):
-    """A backend: it hears of the list before the engine does."""
+    """A backend: it gets each list before the engine does."""
 
     def listed(self, listing: Listing) -> None:
         """A list, or its changes, as whoever makes attempts is to see it."""
@@ -49,11 +49,12 @@
         self.lists_per_s = lists_per_s
         self.asked = config.settings.asks_list  # one service for the whole fleet; else an agent's pushes
         self.followers: list[Follower] = []
-        self.news = Queue()
+        self.pending = Queue()
         self.registry = Registry()
-        self.told = asyncio.Event()  # the list's first news are adopted, or late
+        self.first_list_adopted = asyncio.Event()  # the first list or changes are in force
         self.snapshot_writer: SnapshotWriter | None = None  # of the last list, where there is a lasting disk
-        self._as_kept: Listing | None = None  # the snapshot's list, where another is in force for its age
+        # The snapshot's list as written, where another is in force for its age.
+        self._snapshot_listing: Listing | None = None
 
     def policy(self, relays: Sequence[Address]) -> tuple[Calls, Addresses]:
         """When calls are made and to whom, by the configuration. relays: asked in discovery's place."""
@@ -80,8 +81,8 @@
         memory: of the process before, which had the list known; it may be followed from this version.
         """
         if self.snapshot_writer is not None:
-            known = self._kept(self.snapshot_writer, known)
-        self._adopt(known if self.subset is None else self.subset.filter(known), "stale")
+            known = self._newer_of_snapshot(self.snapshot_writer, known)
+        self._adopt(self._in_subset(known), "stale")
         if memory is None:
             self.watch.version = known.version
         else:
@@ -89,14 +90,14 @@
             self.engine.inherit(memory)
         self.watch.start()
 
-    def _kept(self, writer: SnapshotWriter, known: Listing) -> Listing:
+    def _newer_of_snapshot(self, writer: SnapshotWriter, known: Listing) -> Listing:
         """The snapshot's list, where it is not older than what the configuration knows."""
         writer.refresh_age()
-        kept = writer.read()
-        if kept is None or (known.entries and kept.listing.version < known.version):
+        snapshot = writer.read()
+        if snapshot is None or (known.entries and snapshot.listing.version < known.version):
             return known
-        self._as_kept = kept.listing if kept.in_force is not kept.listing else None
-        return kept.in_force
+        self._snapshot_listing = snapshot.listing if snapshot.in_force is not snapshot.listing else None
+        return snapshot.in_force
 
     def reconfigure(self, config: Config) -> None:
         """A new configuration: what is in flight goes on, the list held stays until the next one."""
@@ -117,30 +118,33 @@
         if self.snapshot_writer is not None:
             self.snapshot_writer.stop()
 
-    # ---- what the watch tells
+    # ---- what the watch brings
 
     def listed(self, listing: Listing) -> None:
-        """Short news at once; long ones in pieces, one a turn of the loop, and later ones behind them."""
-        taking = self.news.waiting()
-        as_kept, self._as_kept = self._as_kept, None
-        if as_kept is not None and not listing.whole:
-            # Changes to what was kept, not to what its age made of it.
-            self.news.put(as_kept if self.subset is None else self.subset.filter(as_kept))
-        self.news.put(listing if self.subset is None else self.subset.filter(listing))
-        if not taking:
+        """Short lists at once; long ones in pieces, one a turn of the loop, and later ones behind them."""
+        in_progress = self.pending.waiting()
+        snapshot_listing, self._snapshot_listing = self._snapshot_listing, None
+        if snapshot_listing is not None and not listing.whole:
+            # Changes to the list as it was written, not to what its age made of it.
+            self.pending.put(self._in_subset(snapshot_listing))
+        self.pending.put(self._in_subset(listing))
+        if not in_progress:
             self._take_in()
 
+    def _in_subset(self, listing: Listing) -> Listing:
+        return listing if self.subset is None else self.subset.filter(listing)
+
     def _take_in(self) -> None:
-        piece = self.news.next(self.engine.balancer.servers)
+        piece = self.pending.next(self.engine.balancer.servers)
         if piece is None:
             return
         try:
             self._adopt(piece, "whole" if piece.whole else "changes")
         finally:
-            if self.news.waiting():
+            if self.pending.waiting():
                 self.loop.call_soon(self._take_in)
             else:
-                self.told.set()
+                self.first_list_adopted.set()
                 if self.snapshot_writer is not None:
                     self.snapshot_writer.list_changed()
 
@@ -151,7 +155,7 @@
             follower.listed(masked)
         self.engine.listed(how, listing.entries)
 
-    # ---- what operators tell
+    # ---- what operators set
 
     def by_hand(self, name: str, out: bool) -> None:
         """An upstream is taken out by an operator, or put back; nothing if it is so already."""
--- a/quartzford/membership/addresses.py
+++ b/quartzford/membership/addresses.py
@@ -33,7 +33,7 @@
 
 
 class Addresses(Protocol):
-    """A choice of addresses; it is told how each call has ended."""
+    """A choice of addresses; it learns how each call has ended."""
 
     address: Callable[[], Address]  # of the configuration: the agent's, or the list service's
     whole_by_watch: bool  # the first line of a watch at index 0 is the whole list, whatever it says
@@ -105,7 +105,7 @@
         self.asked: Target | None = None  # by the last call
         self.asked_direct = self.failed_direct = False  # the last call, the last failure: at the list service
         self.known = False  # a version was held then
-        self.heard = False  # a relay has answered since the start
+        self.ever_answered = False  # a relay has answered since the start
         self.place: int | None = None  # in the order, where the watch stands; len(order): at the list service
         self._next = 0
         self._tried = 0  # better places since the watch stands
@@ -118,7 +118,7 @@
             self.asked = Target(self.address(), Ask.WATCH)
         else:
             # Relays that have lost the list service turn watches away, and give a list to who has none.
-            whole = not self.heard and self.all_failed() and self.one_lives()
+            whole = not self.ever_answered and self.all_failed() and self.one_lives()
             self.asked = Target(self.order[self._next], Ask.WHOLE if whole else Ask.WATCH)
         return self.asked
 
@@ -133,7 +133,7 @@
 
     def answered(self, target: Target) -> None:
         """A watch stands at the target; what relays did before counts no more."""
-        self.heard = True
+        self.ever_answered = True
         if target.ask is Ask.WHOLE:
             return  # of a relay that has lost the list service, perhaps
         self._ends.clear()
--- a/quartzford/membership/calls.py
+++ b/quartzford/membership/calls.py
@@ -1,9 +1,10 @@
 """When the list service is called, how long an answer is waited for, and what is asked. No I/O.
 
-What the service has, and could be reached for, counts as told TOLD_S later, whatever went before. So from the
-beginning of one call to the answer of the next no more than that may pass: a change that comes just after a
-call has begun that will never be answered is told by the next one. A cycle is the time that the call took,
-the wait behind it and the time that the next may take; all that makes waits longer ends at its bound.
+A change that the service has, and could be reached for, has to be known here NOTIFY_BOUND_S later, whatever
+went before. So from the beginning of one call to the answer of the next no more than that may pass: a change
+that comes just after a call has begun that will never be answered comes with the next one. A cycle is the
+time that the call took, the wait behind it and the time that the next may take; all that makes waits longer
+ends at its bound.
 
 Two policies. `Agent` is for a list that is pushed: the address is an agent on this machine, a call costs
 nobody anything, and the sooner the better. `Shared` is for one service that all balancers of a fleet ask. It
@@ -30,7 +31,8 @@
 from enum import Enum
 from typing import Protocol
 
-TOLD_S = 5.75  # from the beginning of a call to the next one's answer: 6 s, less what the loop may be late
+# From the beginning of a call to the next one's answer: 6 s, less what the loop may be late.
+NOTIFY_BOUND_S = 5.75
 CONNECT_S = 1.5  # nobody took the connection for so long
 ANSWER_S = 1.5  # an agent's whole answer, from the connection on
 QUEUE_S = 2.0  # the same of a service that all ask: calls wait in turn there
@@ -39,7 +41,7 @@
 GRACE_PART = 0.4  # of the time that sends to what drains may go on, that an agent may be left unasked
 SMALL = 16  # so many balancers may call at once
 WAIT_SPREAD = (0.75, 1.25)  # of the spread interval, from a failed call to the next
-WAIT_BOUND = (0.8, 1.0)  # of the longest wait that TOLD_S leaves
+WAIT_BOUND = (0.8, 1.0)  # of the longest wait that NOTIFY_BOUND_S leaves
 KEPT_S = 60.0  # a call that was accepted may still be answered for so long
 STRETCH, STRETCH_MOST = 1.5, 16.0  # the interval grows by this with each call that the service could not bear
 
@@ -53,7 +55,7 @@
     SILENT = "silent"  # accepted, and nothing more came
     TURNED_AWAY = "turned away"  # 429 or 503
     BROKEN = "broken"  # anything else before the list had come
-    LOST = "lost"  # a watch that had told something
+    LOST = "lost"  # a watch that had brought a list or changes
 
 
 class Calls(Protocol):
@@ -68,7 +70,7 @@
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         """Wait before the next call. retry_after: what the service asked for, or 0.
 
-        took: by the call that has ended; of a watch that had told something, since its last whole line.
+        took: by the call that has ended; of a watch that had brought something, since its last whole line.
         """
 
     def connect(self) -> float:
@@ -170,7 +172,7 @@
     def first(self) -> float:
         """Wait before the first call, in seconds: drawn from the spread interval of the fleet."""
         self.tries = 0
-        return self.rng.random() * min(self.spread_interval, TOLD_S - QUEUE_S)
+        return self.rng.random() * min(self.spread_interval, NOTIFY_BOUND_S - QUEUE_S)
 
     def after(self, end: End, took: float, retry_after: float = 0.0) -> float:
         """Wait before the next call, in seconds: spread over the fleet, under the bound of the list's age."""
@@ -180,7 +182,7 @@
             self.unread_until = self.now() + max(RETRY_S[1], self.spread_interval)
             return 0.0
         interval = self.spread_interval * self.stretch
-        most = max(0.0, min(self.most_wait, TOLD_S - QUEUE_S - took))
+        most = max(0.0, min(self.most_wait, NOTIFY_BOUND_S - QUEUE_S - took))
         if end is End.LOST:  # all watches end in one moment when the service does
             return max(self.rng.random() * min(interval, most), min(most, backoff(0, self.rng)))
         if end is End.TURNED_AWAY or end is End.SILENT:
@@ -191,7 +193,7 @@
         most *= self.rng.uniform(*WAIT_BOUND)
         wait = max(alone, self.spread_interval * self.stretch * self.rng.uniform(*WAIT_SPREAD))
         if retry_after > 0:
-            # Told to all alike: who came together would come back together.
+            # All get the same value: who came together would come back together.
             wait = max(wait, retry_after + self.rng.random() * self.spread_interval * self.stretch)
         return min(wait, most)
 
--- a/quartzford/membership/listing.py
+++ b/quartzford/membership/listing.py
@@ -65,7 +65,7 @@
 
 
 class Sink(Protocol):
-    """Who is told of the list."""
+    """What a watch hands each list and its changes to."""
 
     def listed(self, listing: Listing) -> None:
         """Take a list, or changes of it, that could be read."""
--- a/quartzford/membership/relaycalls.py
+++ b/quartzford/membership/relaycalls.py
@@ -14,13 +14,13 @@
   the watch that stands.
 
 Versions are the source's own, and a balancer goes on by index at any relay; a relay that is behind lets an
-index ahead of its own wait for the source's next line, and tells a whole list of a lower version only where
+index ahead of its own wait for the source's next line, and sends a whole list of a lower version only where
 the source has begun again. What remains, each until the relay's next line from the source:
 
 - The source's empty line to a relay is overtaken by a change's way over another relay and a balancer: the
   index is taken for one of another life, and an older list comes just before the changes to it.
-- The source has begun again and a relay has not noticed: a balancer that comes from one that has is told the
-  earlier life's changes, until the relay tells the new life's list.
+- The source has begun again and a relay has not noticed: a balancer that comes from one that has gets the
+  earlier life's changes, until the relay sends the new life's list.
 - A balancer that could not read a line asks a relay for everything, and that is behind.
 """
 
@@ -34,12 +34,12 @@
 from quartzford.membership.addresses import Relays
 from quartzford.membership.calls import (
     CONNECT_S,
+    NOTIFY_BOUND_S,
     QUEUE_S,
     RETRY_S,
     SMALL,
     STRETCH,
     STRETCH_MOST,
-    TOLD_S,
     WAIT_BOUND,
     WAIT_SPREAD,
     End,
@@ -49,7 +49,7 @@
 
 RELAY_CONNECT_S = 0.6  # nobody at a relay took the connection for so long
 RELAY_LINE_S = 1.0  # a relay's first line by index, from the connection on
-FLOW_S = 1.0  # more, where a long list is under way: another relay would only tell it once more
+FLOW_S = 1.0  # more, where a long list is under way: another relay would only send it once more
 JITTER_S = 0.2  # at most, from a failed call to the next relay's
 LOST_SPREAD_S = 0.5  # all watches of a relay end in one moment: its balancers' next calls
 RETURN_S = (30.0, 90.0)  # from the moment a watch stands to the next try of a better place
@@ -81,7 +81,7 @@
     def first(self) -> float:
         """A wait drawn from the time in which a relay can answer all of its balancers."""
         self.tries = 0
-        return self.rng.random() * min(self.relay_spread_interval, TOLD_S - QUEUE_S)
+        return self.rng.random() * min(self.relay_spread_interval, NOTIFY_BOUND_S - QUEUE_S)
 
     def connect(self) -> float:
         """As long as the place that was chosen last may take."""
@@ -125,11 +125,12 @@
         relays, count = self.relays, len(self.relays.order)
         later = retry_after * self.rng.uniform(*LATER)
         if not relays.known and later > 0:  # a whole list, in turn: the others have no less to do
-            return min(later, TOLD_S - QUEUE_S)
+            return min(later, NOTIFY_BOUND_S - QUEUE_S)
         if not relays.all_failed():
             return self.rng.random() * JITTER_S
         # Each relay is asked again within the six seconds, as far as those that say nothing leave them.
-        pace = max(0.0, TOLD_S - RELAY_LINE_S - sum(self.costs)) / count * self.rng.uniform(*WAIT_BOUND)
+        left = max(0.0, NOTIFY_BOUND_S - RELAY_LINE_S - sum(self.costs))
+        pace = left / count * self.rng.uniform(*WAIT_BOUND)
         alone = backoff(self.tries, self.rng)
         self.tries = min(self.tries + 1, 10)
         return max(RETRY_S[0], min(pace, max(alone, self.relay_spread_interval, later / count)))
--- a/quartzford/membership/watch.py
+++ b/quartzford/membership/watch.py
@@ -49,7 +49,7 @@
         self.resync = resync
         self.calls = calls
         self.version: int | None = None
-        self.heard = False  # discovery has answered since the start
+        self.ever_answered = False  # discovery has answered since the start
         self.call: Call | None = None
         self.kept: Call | None = None  # an earlier one that was accepted and may still be answered
         self.beside: Call | None = None  # at a better place, while the watch stands
@@ -122,8 +122,8 @@
         self.start()
 
     def current(self) -> bool:
-        """The list that is held is what the service tells now."""
-        return self.call is not None and self.call.told
+        """The list that is held is the service's current one: a watch stands."""
+        return self.call is not None and self.call.answered
 
     def stop(self) -> None:
         """End all calls and make none from now on."""
@@ -163,16 +163,16 @@
         """A line that could be read; whether the watch may go on."""
         if self._outdated(listing, call):
             return not call.watch
-        if call.everything and not call.told:
+        if call.everything and not call.answered:
             listing = everything(listing)
         if listing.whole:
             if self.beside is not None and call is not self.beside:
-                self.beside.close()  # it may be about to tell changes to another life's list
+                self.beside.close()  # it may be about to bring changes to another life's list
         elif self.version is None or listing.version < self.version:
             self.version = None
             return False
         self.version = listing.version
-        self.heard = True
+        self.ever_answered = True
         self.sink.listed(listing)
         return True
 
@@ -250,8 +250,8 @@
         self.why = "closed"  # what ended it, for the counts
         self.end = End.BROKEN
         self.retry_after = 0.0
-        self.since = self.clock.now()  # it was begun, or last told something
-        self.told = False  # a part of the list has come
+        self.since = self.clock.now()  # it was begun, or last brought a whole line
+        self.answered = False  # a list or changes have come
         self.timer = self.clock.call_later(owner.calls.connect(), self._unreached)
         self.task = self.loop.create_task(self._connect())
 
@@ -271,11 +271,11 @@
         self.close()
 
     def _silent(self) -> None:
-        if not self.told and self.flowing > 0.0 and len(self.buffer) >= FLOW_BYTES:
+        if not self.answered and self.flowing > 0.0 and len(self.buffer) >= FLOW_BYTES:
             more, self.flowing = self.flowing, 0.0  # once
             self.timer = self.clock.call_later(more, self._silent)
             return
-        if not self.told and self.owner.late(self):
+        if not self.answered and self.owner.late(self):
             self.timer = self.clock.call_later(KEPT_S, self.close)
             return
         self.why, self.end = "silent", End.SILENT
@@ -285,7 +285,7 @@
         if self.over:
             return
         self.over = True
-        if self.told and self.watch:
+        if self.answered and self.watch:
             self.end = End.LOST
         self.timer.cancel()
         if self.transport is not None:
@@ -335,21 +335,21 @@
         """The answer to a GET has ended: the watch follows at once."""
         if self.watch or not self.buffer.strip():
             return self.close()
-        if not self._aside(bytes(self.buffer), lambda kept: self._end(again=kept)):
-            self._end(again=self._heard(self.owner.line(bytes(self.buffer), self)))
+        if not self._aside(bytes(self.buffer), lambda usable: self._end(again=usable)):
+            self._end(again=self._line_read(self.owner.line(bytes(self.buffer), self)))
 
-    def _heard(self, kept: bool) -> bool:
+    def _line_read(self, usable: bool) -> bool:
         """A part of the list has come, and could be read or not."""
-        if kept and not self.told:
-            self.told = True
+        if usable and not self.answered:
+            self.answered = True
             self.owner.answered(self)
-        if kept:
+        if usable:
             self._alive()
-        return kept
+        return usable
 
     def _alive(self) -> None:
-        """Only what is whole shows that the watch stands: bytes may drip in for ever and tell nothing."""
-        if self.told and not self.over:
+        """Only what is whole shows that the watch stands: bytes may drip in for ever and form no line."""
+        if self.answered and not self.over:
             self.since = self.owner.last_line_at = self.clock.now()
             self.timer.cancel()
             self.timer = self.clock.call_later(LINE_S, self._silent)
@@ -369,12 +369,12 @@
             if self.over:
                 return
             try:
-                kept = self._heard(self.owner.read(future.result(), self))
+                usable = self._line_read(self.owner.read(future.result(), self))
             except ValueError as error:
-                kept = self.owner.bad(error, self)
+                usable = self.owner.bad(error, self)
             if self.transport is not None and not self.transport.is_closing():
                 self.transport.resume_reading()
-            done(kept)
+            done(usable)
             if not self.over and not self.reading and (self.lost or self.finished):
                 self.close()
 
@@ -408,9 +408,9 @@
         if self.watch:
             self._lines(True)
 
-    def _lines(self, kept: bool) -> None:
+    def _lines(self, usable: bool) -> None:
         """Whole lines that have come, in order: one that is read beside the loop holds up the next ones."""
-        if not kept:
+        if not usable:
             return self._end(again=True)
         while not self.over and not self.reading and (end := self.buffer.find(b"\n", self.searched)) >= 0:
             self.depth += opened(bytes(self.buffer[self.scanned : end]))
@@ -422,7 +422,7 @@
             self.scanned = self.searched = self.depth = 0
             if not text:
                 self._alive()
-            elif not self._aside(text, self._lines) and not self._heard(self.owner.line(text, self)):
+            elif not self._aside(text, self._lines) and not self._line_read(self.owner.line(text, self)):
                 self._end(again=True)
         if not self.reading:
             self.searched = len(self.buffer)
--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -64,7 +64,8 @@
         self.budget = Budget(0)
         self.control = control = assemble(config, loop, clock, self.log, subset, lists_per_s, relays)
         self.engine, self.watch = control.engine, control.watch
-        self.registry, self.news, self.told = control.registry, control.news, control.told
+        self.registry, self.pending = control.registry, control.pending
+        self.first_list_adopted = control.first_list_adopted
         self.pool = HttpBackend(self.engine, self.budget, clock, loop)
         self.followers = control.followers
         self.followers.append(self.pool)
@@ -155,7 +156,7 @@
         self.clock.call_later(SWEEP_S, self._sweep)
 
     async def _begin(self, known: Listing) -> None:
-        """Take over what there is, and hear what the list has to say, before a request can come.
+        """Take over what there is, and wait for the list, before a request can come.
 
         What the agent holds counts as told from the process's start on, and clients that knew the process
         before come as soon as the address listens: the list as last had may name servers that drain since.
@@ -168,21 +169,21 @@
         # Requests in the queue of a listener that stands count as taken: they can't wait, and the process
         # before served by the same list.
         if not self.control.asked and self._listener is None:
-            self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.told.set)
-            await self.told.wait()
+            self.clock.call_later(max(0.0, self.ready_at - self.clock.now()), self.first_list_adopted.set)
+            await self.first_list_adopted.wait()
 
     def ready(self) -> bool:
-        """Requests can be served: the address listens, the list is heard or late, an upstream is ready."""
+        """Requests can be served: the address listens, the list has come or is late, an upstream is ready."""
         if self.ending or not self._listened:
             return False
-        told = self.watch.heard or self.control.asked or self.clock.now() >= self.ready_at
-        return told and any(u.ready for u in self.pool.upstreams.values())
+        list_settled = self.watch.ever_answered or self.control.asked or self.clock.now() >= self.ready_at
+        return list_settled and any(u.ready for u in self.pool.upstreams.values())
 
     def terminate(self) -> None:
         if self.ending:
             return
         self.ending = True
-        self.told.set()
+        self.first_list_adopted.set()
         self.draining_since = self.clock.now()
         if self.succession is None:
             self.drain()
@@ -253,8 +254,8 @@
         busy = sum(not client.idle() for client in self.front.clients)
         memory = self.engine.hand_over()
         return listener, State(
-            FORMAT, self.registry.table(), self.watch.version, list(self.config.discovery), self.watch.heard,
-            busy, memory,
+            FORMAT, self.registry.table(), self.watch.version, list(self.config.discovery),
+            self.watch.ever_answered, busy, memory,
         )  # fmt: skip
 
     def take_back(self) -> None:
@@ -279,14 +280,14 @@
     def client(self, sock: socket.socket) -> None:
         self.loop.create_task(self.front.adopt(sock))
 
-    def told_by_hand(self, name: str, out: bool) -> None:
+    def apply_by_hand(self, name: str, out: bool) -> None:
         self.control.by_hand(name, out)
 
     def alone(self) -> None:
         self.busy_before = 0
         self._configure(self.config)
 
-    # ---- what operators ask and tell
+    # ---- what operators ask and set
 
     def by_hand(self, name: str, out: bool) -> bool:
         balancer = self.engine.balancer
--- a/quartzford/replacement/succession.py
+++ b/quartzford/replacement/succession.py
@@ -66,7 +66,7 @@
     def client(self, sock: socket.socket) -> None:
         """A client's connection from the process before."""
 
-    def told_by_hand(self, name: str, out: bool) -> None:
+    def apply_by_hand(self, name: str, out: bool) -> None:
         """The other process was told this."""
 
     def alone(self) -> None:
@@ -160,7 +160,7 @@
             case Client() if len(descriptors) == 1:
                 self.node.client(socket.socket(fileno=descriptors.pop()))
             case Hand(name, out):
-                self.node.told_by_hand(name, out)
+                self.node.apply_by_hand(name, out)
         for fd in descriptors:
             os.close(fd)
         if self._fd is not None and not self._missing and self.given is not None and not self.given.done():
@@ -240,7 +240,7 @@
             case Serves() if channel is self.after:
                 self.phases.tell(News.SERVES)
             case Hand(name, out) if channel is self.after:
-                self.node.told_by_hand(name, out)
+                self.node.apply_by_hand(name, out)
 
     def _after_ended(self, channel: Channel, why: str) -> None:
         if channel is self.after:
--- a/rig/hollow.py
+++ b/rig/hollow.py
@@ -131,7 +131,7 @@
         if listing.version > self.version:
             self.version = listing.version
             self.side.listed(listing)
-        elif not self.side.news.waiting():
+        elif not self.side.pending.waiting():
             self.adopted()
 
     def adopted(self) -> None:
--- a/rig/meter.py
+++ b/rig/meter.py
@@ -116,7 +116,7 @@
     @functools.wraps(adopt)
     def adopted(self: Any, listing: Listing, how: str) -> None:
         adopt(self, listing, how)
-        if not self.news.waiting():
+        if not self.pending.waiting():
             self.meter.adopted(listing.version)
 
     ControlSide.__init__ = init  # type: ignore[method-assign]
--- a/tests/extproc_site.py
+++ b/tests/extproc_site.py
@@ -49,7 +49,7 @@
         self.front = ExtprocFront(self.extproc, names, node.engine, self.backend, node.clock, node.log)
         await node.start()
         await self.front.start()
-        await until(lambda: node.watch.heard)
+        await until(lambda: node.watch.ever_answered)
         if self.extproc.workers:
             await until(lambda: len(self.ports()) == self.extproc.workers, 30)
         return self
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -244,7 +244,7 @@
         assert self.node.front.server is not None
         self.port = self.node.front.server.sockets[0].getsockname()[1]
         if heard:
-            await until(lambda: self.watches and self.node.watch.heard)
+            await until(lambda: self.watches and self.node.watch.ever_answered)
 
     async def __aexit__(self, *error: object) -> None:
         for writer in self.clients:
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -9,7 +9,7 @@
 import pytest
 
 from quartzford.membership.addresses import Address, Ask, Relays, Single, ranked
-from quartzford.membership.calls import CONNECT_S, LINE_S, QUEUE_S, TOLD_S, End
+from quartzford.membership.calls import CONNECT_S, LINE_S, NOTIFY_BOUND_S, QUEUE_S, End
 from quartzford.membership.relaycalls import (
     RELAY_CONNECT_S,
     RELAY_LINE_S,
@@ -92,7 +92,7 @@
         one.lose()
         while not one.ask():
             pass
-        assert one.now <= TOLD_S and one.relays.place == 3
+        assert one.now <= NOTIFY_BOUND_S and one.relays.place == 3
 
 
 @pytest.mark.parametrize("stopped", [0, 3])
@@ -107,7 +107,7 @@
             assert not one.ask(retry_after=retry_after)
         rounds = [at for at, address, _ in one.made if address == ELEVEN[7]]
         # The answer comes at once from who lives, and within the patience from who would be stopped next.
-        assert max(b - a for a, b in itertools.pairwise(rounds[2:])) + RELAY_LINE_S <= TOLD_S + 0.25
+        assert max(b - a for a, b in itertools.pairwise(rounds[2:])) + RELAY_LINE_S <= NOTIFY_BOUND_S + 0.25
         assert all(address != SOURCE and ask is Ask.WATCH for _, address, ask in one.made)
         assert len(one.made) / one.now <= 11 / 3.5  # and not in a circle
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,10 +11,10 @@
 from quartzford.membership.calls import (
     CONNECT_S,
     LINE_S,
+    NOTIFY_BOUND_S,
     QUEUE_S,
     RETRY_S,
     SMALL,
-    TOLD_S,
     Agent,
     Calls,
     End,
@@ -75,7 +75,7 @@
     """No disk remembers its calls; that each start draws its moment from the whole spread interval does."""
     for balancers in (150, 200):
         # A longer one would tell a change too late.
-        interval = min(shared(balancers).spread_interval, TOLD_S - QUEUE_S)
+        interval = min(shared(balancers).spread_interval, NOTIFY_BOUND_S - QUEUE_S)
         starts = 4_000
         calls = sum(shared(balancers, seed).first() < life_s for seed in range(starts))
         assert calls / (starts * life_s) <= 1.1 / interval
@@ -151,7 +151,7 @@
     waits = [calls.after(End.TURNED_AWAY, 0.0, 1.5) for _ in range(200)]
     assert min(waits) >= 1.5
     told = [calls.after(End.TURNED_AWAY, 0.0, 3600.0) for _ in range(50)]
-    assert min(told) >= 0.75 * (TOLD_S - QUEUE_S) and max(told) <= TOLD_S - QUEUE_S
+    assert min(told) >= 0.75 * (NOTIFY_BOUND_S - QUEUE_S) and max(told) <= NOTIFY_BOUND_S - QUEUE_S
     assert len(set(told)) == 50  # told to all alike, they don't come back together
     assert 0.0 < shared(balancers).after(End.TURNED_AWAY, 0.0) <= 10.0
 
@@ -169,7 +169,7 @@
 
 def test_discovery_moved_under_all_is_asked_over_a_spread_interval() -> None:
     firsts = sorted(shared(200, seed).first() for seed in range(200))
-    interval = min(184 / 50.0, TOLD_S - QUEUE_S)
+    interval = min(184 / 50.0, NOTIFY_BOUND_S - QUEUE_S)
     for tenth in range(10):
         inside = sum(tenth * interval / 10 <= f < (tenth + 1) * interval / 10 for f in firsts)
         assert 8 <= inside <= 36
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -297,7 +297,7 @@
         patch.setattr(HttpFront, "_accept", held_up)
         starting = asyncio.ensure_future(world.__aenter__())
         await until(lambda: hasattr(world, "node") and world.node.front.accepting)
-        assert world.node.watch.heard
+        assert world.node.watch.ever_answered
         assert (await call(world, status)).status == 503
         goes_on.set()
         await starting
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -163,7 +163,7 @@
             await new.start(old.port)
             new.start = still  # type: ignore[method-assign]
         async with second:
-            assert second.node.ready() and not second.node.watch.heard
+            assert second.node.ready() and not second.node.watch.ever_answered
             assert (await second.ask(request())).status == 200
 
     test()
--- a/tests/test_sockets_list.py
+++ b/tests/test_sockets_list.py
@@ -118,7 +118,7 @@
     world.discovery.script = late
     entering = asyncio.ensure_future(world.enter())
     await until(lambda: world.discovery.came)
-    assert world.node.front.listener is None and not world.node.watch.heard
+    assert world.node.front.listener is None and not world.node.watch.ever_answered
     hold.set()
     await entering
     assert world.node.front.listener is not None
@@ -143,7 +143,7 @@
         with pytest.raises(AssertionError):  # the helper's own: there is no server to ask
             await entering
         await world.node.finished
-        assert world.node.front.listener is None and not world.node.watch.heard
+        assert world.node.front.listener is None and not world.node.watch.ever_answered
         for peer in (*world.ups, world.discovery):
             await peer.stop()
 
@@ -271,7 +271,7 @@
     world.discovery.script = slow
     async with world:
         await step.wait()
-        await until(lambda: world.node.watch.heard)
+        await until(lambda: world.node.watch.ever_answered)
         counts = {name: count for name, count in world.node.watch.counts.items() if name != "kept"}
         assert len(world.discovery.came) == 1 and counts == {"watched": 1} and world.node.watch.current()
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -195,9 +195,9 @@
         await peer.start()
     await world.enter(heard=False)
     await until(lambda: len(writers) == 2)  # the first one is not answered in its time
-    assert world.discovery.left == 0 and not world.node.watch.heard
+    assert world.discovery.left == 0 and not world.node.watch.ever_answered
     await world._discover(world.discovery.came[0], writers[0])
-    await until(lambda: world.node.watch.heard and world.discovery.left == 1)  # the second one
+    await until(lambda: world.node.watch.ever_answered and world.discovery.left == 1)  # the second one
     world.version = 7
     world.tell(world.list(world.host(0)), writers[0])
     await until(lambda: world.node.watch.version == 7)
