Relay: plain names for what is due, the last line and the sending of changes

Debt and Owed.debt are Due and Owed.due. heard_at is last_line_at, as the watch calls it. Private methods say what they do: _send_changes, _whole_sent, _queue_whole, _notify_watchers. The log lines and the counts in them stay.

No behaviour is changed.

--- a/quartzford/relay/caller.py
+++ b/quartzford/relay/caller.py
@@ -11,7 +11,7 @@
 import httptools
 
 from quartzford.engine import Clock, Handle
-from quartzford.relay.catalog import Catalog, Debt, Owed, Position, Whole
+from quartzford.relay.catalog import Catalog, Due, Owed, Position, Whole
 from quartzford.relay.room import Room
 from quartzford.relay.turns import Turns
 
@@ -60,7 +60,7 @@
     def source(self) -> Source:
         """How the relay stands to the source."""
 
-    def heard_at(self) -> float:
+    def last_line_at(self) -> float:
         """When the source's last line came, on the clock."""
 
     def frame(self, line: bytes) -> bytes:
@@ -104,9 +104,9 @@
         self.server = server
         self.state = State.ASKING
         self.index: int | None = None  # of a watch
-        self.position: Position | None = None  # that it has been told
+        self.position: Position | None = None  # that it has been sent
         self.slot = 0  # in which its beats fall
-        self._headed = False  # the answer has begun
+        self._head_sent = False  # the answer has begun
         self._paused = False
         self._ahead_at = 0.0  # a line came after the call, and it was ahead
         self._asked_at = 0.0
@@ -114,7 +114,7 @@
         self._rest: memoryview = memoryview(b"")
         self._reserved = 0  # bytes that have a turn
         self._timer: Handle | None = None
-        self._seen = 0
+        self._bytes_read = 0
         self._url = b""
         self._parser: Any = httptools.HttpRequestParser(self)
 
@@ -144,13 +144,13 @@
         """Read the request; what follows it is not read."""
         if self.state is not State.ASKING:
             return  # one call to a connection
-        self._seen += len(data)
+        self._bytes_read += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self.state is State.ASKING:
                 self._refuse(400)
-        if self.state is State.ASKING and self._seen > HEAD_BYTES:
+        if self.state is State.ASKING and self._bytes_read > HEAD_BYTES:
             self._refuse(431)
 
     def eof_received(self) -> bool:
@@ -197,10 +197,10 @@
             return
         if self.state is State.ASKING:
             return self._finish(b"")
-        if not self._headed:
+        if not self._head_sent:
             return self._turn_away(LOST_RETRY_S, "turned away")
         if self.state is State.WHOLE and not self.server.stopping:
-            return  # it is told the list that there is, and ended behind it
+            return  # it is sent the list that there is, and ended behind it
         if self._paused or self._whole is not None:
             return self.abort()
         self._finish(LAST if self.index is not None else b"")
@@ -221,7 +221,7 @@
 
     def on_headers_complete(self) -> None:
         """The request is known."""
-        if self.state is not State.ASKING or self._seen > HEAD_BYTES:
+        if self.state is not State.ASKING or self._bytes_read > HEAD_BYTES:
             return
         target = self._url.decode("latin-1")
         if target.startswith("http://"):  # absolute form (RFC 9112, 3.2.2)
@@ -274,54 +274,54 @@
             return
         source, held = self.server.source(), self.server.catalog.version is not None
         if self.index is None and held:
-            self._turn()
+            self._queue_whole()
         elif source is Source.LOST:
             self._turn_away(LOST_RETRY_S, "turned away")
         elif source is Source.FRESH and held:
             self._answer(self.server.catalog.owed(None, self.index or 0))
 
     def _answer(self, owed: Owed) -> None:
-        if owed.debt is Debt.WHOLE or (owed.debt is Debt.AHEAD and self._of_another_life()):
-            self._turn()
-        elif owed.debt is not Debt.AHEAD:
+        if owed.due is Due.WHOLE or (owed.due is Due.AHEAD and self._of_another_life()):
+            self._queue_whole()
+        elif owed.due is not Due.AHEAD:
             self.server.waiting.pop(self, None)
             self.state = State.WATCHING
-            self._tell(owed.line or self.server.catalog.nothing())
+            self._send_changes(owed.line or self.server.catalog.nothing())
 
     def _of_another_life(self) -> bool:
         """Its index is still above the version held, well after the source has said something."""
         now = self.server.clock.now()
-        if not self._ahead_at and self.server.heard_at() > self._asked_at:
+        if not self._ahead_at and self.server.last_line_at() > self._asked_at:
             self._ahead_at = now
         return bool(self._ahead_at) and now - self._ahead_at >= SETTLE_S
 
     def advance(self) -> None:
-        """Tell a watcher what it is owed, if its socket takes bytes."""
+        """Send a watcher what it is owed, if its socket takes bytes."""
         if self.state is not State.WATCHING or self._paused:
             return
         owed = self.server.catalog.owed(self.position)
-        if owed.debt is Debt.CHANGES:
-            self._tell(owed.line)
-        elif owed.debt is Debt.WHOLE:
-            self._turn()
+        if owed.due is Due.CHANGES:
+            self._send_changes(owed.line)
+        elif owed.due is Due.WHOLE:
+            self._queue_whole()
 
     def beat(self) -> None:
         """Say that nothing has changed."""
         if self.state is State.WATCHING and not self._paused:
             self.transport.write(BEAT)
 
-    def _tell(self, line: bytes) -> None:
+    def _send_changes(self, line: bytes) -> None:
         self.server.counts["changes"] += 1
         self.position = self.server.catalog.position()
         data = self.server.frame(line)
-        if not self._headed:
-            self._headed = True
+        if not self._head_sent:
+            self._head_sent = True
             data = WATCH_HEAD + data
         self.transport.write(data)
 
     # ---- whole lists
 
-    def _turn(self) -> None:
+    def _queue_whole(self) -> None:
         """The whole list is owed: in its turn, or not here."""
         self.server.waiting.pop(self, None)
         if self.server.stopping:
@@ -329,14 +329,14 @@
         size = self.server.catalog.whole_bytes()
         turn = self.server.turns.ask(self.server.clock.now(), size)
         if not turn.granted:
-            if self._headed:
+            if self._head_sent:
                 return self.leave()
             return self._turn_away(turn.wait, "turned away")
         self._reserved = size
         self.state = State.TURN
-        self._after(turn.wait, self._begin)
+        self._after(turn.wait, self._begin_whole)
 
-    def _begin(self) -> None:
+    def _begin_whole(self) -> None:
         if self.state is not State.TURN:
             return
         if self.server.stopping:
@@ -351,8 +351,8 @@
             head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n" % len(line)
             head += b"Connection: close\r\n\r\n"
         else:
-            head = (b"" if self._headed else WATCH_HEAD) + b"%x\r\n" % len(line)
-        self._headed = True
+            head = (b"" if self._head_sent else WATCH_HEAD) + b"%x\r\n" % len(line)
+        self._head_sent = True
         self._rest = memoryview(line)
         self.state = State.WHOLE
         self._after(WHOLE_S, self.abort)
@@ -379,10 +379,10 @@
         data, self._rest = bytes(self._rest[:PIECE_BYTES]), self._rest[PIECE_BYTES:]
         self.transport.write(data)
         if not self._rest:
-            self._told()
+            self._whole_sent()
         return self.state is State.WHOLE and not self._paused
 
-    def _told(self) -> None:
+    def _whole_sent(self) -> None:
         """All of the list is written: a watcher goes on from its position."""
         assert self._whole is not None
         if self.index is None:
--- a/quartzford/relay/catalog.py
+++ b/quartzford/relay/catalog.py
@@ -24,8 +24,8 @@
 MOST_GONE = 20_000  # gone rows that are kept
 MOST_VERSIONS = 65_536  # versions that are remembered as held
 MOST_WHOLES = 8  # encodings of the whole list that are in use at a time
-REUSE_PART = 0.125  # of an encoding: it is told to further watchers while the changes behind it are no longer
-FEW_ROWS = 1_000  # so many changed rows are always told as changes
+REUSE_PART = 0.125  # of an encoding: it is sent to further watchers while the changes behind it are no longer
+FEW_ROWS = 1_000  # so many changed rows are always sent as changes
 EXACT = 2**53  # whole numbers below this are written as such
 
 Address = tuple[str, int]
@@ -38,7 +38,7 @@
     version: int
 
 
-class Debt(Enum):
+class Due(Enum):
     """What a watcher is owed."""
 
     NOTHING = "nothing"
@@ -48,9 +48,9 @@
 
 
 class Owed(NamedTuple):
-    """A debt; line: the changes, one line of discovery, where that is the debt."""
+    """What is due; line: the changes, one line of discovery, where those are due."""
 
-    debt: Debt
+    due: Due
     line: bytes = b""
 
 
@@ -64,7 +64,7 @@
 
 
 class Whole:
-    """The whole list at one position as a line of discovery, shared by all who are being told it."""
+    """The whole list at one position as a line of discovery, shared by all to whom it is being sent."""
 
     __slots__ = ("__weakref__", "line", "position")
 
@@ -98,7 +98,7 @@
     """The rows by name, the versions that were held, and the encodings that are shared.
 
     most_gone, most_versions, most_wholes: bounds; past the first two older versions are owed the whole list,
-    past the third a whole list is told that is a few versions old, and the changes behind it.
+    past the third a whole list is sent that is a few versions old, and the changes behind it.
     """
 
     def __init__(
@@ -127,7 +127,7 @@
     # ---- the source's lines
 
     def apply(self, listing: Listing) -> bool:
-        """Take a line of the source; whether anything is told to watchers because of it.
+        """Take a line of the source; whether watchers are owed anything because of it.
 
         Changes that belong to no list held here are refused: nothing changes.
         """
@@ -150,14 +150,14 @@
 
     def _changed(self, listing: Listing) -> dict[str, tuple[io.Entry, Address]]:
         """The rows of a line that are not as they are held; of a whole list also those that it leaves out."""
-        told = {row[0].server: row for row in zip(listing.entries, listing.addresses, strict=True)}
+        incoming = {row[0].server: row for row in zip(listing.entries, listing.addresses, strict=True)}
         if listing.whole:
-            told = {name: row for name, row in told.items() if row[0].state != "gone"}
+            incoming = {name: row for name, row in incoming.items() if row[0].state != "gone"}
             for name, row in self.rows.items():
-                if name not in told:
-                    told[name] = row.entry._replace(state="gone"), row.address
+                if name not in incoming:
+                    incoming[name] = row.entry._replace(state="gone"), row.address
         changed = {}
-        for name, (entry, address) in told.items():
+        for name, (entry, address) in incoming.items():
             held = self.rows.get(name)
             if entry.state == "gone":
                 if held is not None:  # whoever held a version that was held here has no other row to lose
@@ -207,29 +207,29 @@
         While no list is held everybody is ahead.
         """
         if self.version is None:
-            return Owed(Debt.AHEAD)
+            return Owed(Due.AHEAD)
         if position is None:
             if index <= self.distrusted or index <= 0:
-                return Owed(Debt.WHOLE)
+                return Owed(Due.WHOLE)
             if index > self.version:
-                return Owed(Debt.AHEAD)
+                return Owed(Due.AHEAD)
             # Between two versions held here a row may have come and gone: only the source, or one that
             # held the version, can name it.
             if index not in self._held:
-                return Owed(Debt.WHOLE)
+                return Owed(Due.WHOLE)
             position = Position(self.life, index)
         if position.life != self.life or position.version < self.floor:
-            return Owed(Debt.WHOLE)
-        return Owed(Debt.NOTHING) if position.version == self.version else self._after(position.version)
+            return Owed(Due.WHOLE)
+        return Owed(Due.NOTHING) if position.version == self.version else self._after(position.version)
 
     def _after(self, version: int) -> Owed:
         owed = self._changes.get(version)
         if owed is None:
             rows = self._since(self.rows, version) + self._since(self.gone, version)
             if len(rows) > FEW_ROWS and 2 * len(rows) > len(self.rows):
-                owed = Owed(Debt.WHOLE)  # as long, and not under the bound of whole lists
+                owed = Owed(Due.WHOLE)  # as long, and not under the bound of whole lists
             else:
-                owed = Owed(Debt.CHANGES, _line(self.position().version, False, rows))
+                owed = Owed(Due.CHANGES, _line(self.position().version, False, rows))
             self._changes[version] = owed
         return owed
 
@@ -271,4 +271,4 @@
 
     def _few_behind(self, whole: Whole) -> bool:
         owed = self.owed(whole.position)
-        return owed.debt is Debt.CHANGES and len(owed.line) <= REUSE_PART * len(whole.line)
+        return owed.due is Due.CHANGES and len(owed.line) <= REUSE_PART * len(whole.line)
--- a/quartzford/relay/relay.py
+++ b/quartzford/relay/relay.py
@@ -27,7 +27,7 @@
             self.catalog, lambda: self.watch.last_line_at, self.watch.current, settings.whole_bytes_per_s,
             settings.watchers(), clock, log, loop,
         )  # fmt: skip
-        self._telling = False
+        self._notify_scheduled = False
 
     async def start(self) -> None:
         """Listen, and ask the source; OSError where the address can't be had."""
@@ -41,7 +41,7 @@
         self.watch.stop()
 
     def listed(self, listing: Listing) -> None:
-        """A line of the source. What came in one read is told to watchers as one change."""
+        """A line of the source. What came in one read is sent to watchers as one change."""
         before = self.catalog.version
         life = self.catalog.life
         if not self.catalog.apply(listing):
@@ -50,12 +50,12 @@
             self.log.line("relay", f"version {listing.version}, {len(self.catalog.rows)} upstreams")
         elif self.catalog.life != life:
             self.log.line("relay", f"the source has begun again: version {listing.version} after {before}")
-        if not self._telling:
-            self._telling = True
-            self.clock.call_soon(self._tell)
+        if not self._notify_scheduled:
+            self._notify_scheduled = True
+            self.clock.call_soon(self._notify_watchers)
 
-    def _tell(self) -> None:
-        self._telling = False
+    def _notify_watchers(self) -> None:
+        self._notify_scheduled = False
         self.server.changed()
 
 
--- a/quartzford/relay/room.py
+++ b/quartzford/relay/room.py
@@ -3,7 +3,7 @@
 A relay takes its share of the fleet. Past that it turns a watch away, and the balancer asks the next relay in
 its order: that bounds the load of each. Who comes again soon has found no room elsewhere, as relays are gone,
 and is taken all the same, up to what the process's descriptors bear: a relay over its share is better than a
-balancer that is not told. Times are in seconds.
+balancer without a list. Times are in seconds.
 """
 
 from __future__ import annotations
--- a/quartzford/relay/server.py
+++ b/quartzford/relay/server.py
@@ -5,7 +5,7 @@
 lists in pieces behind them, each when its turn comes.
 
 While the source's last line is younger than FRESH_S new watches are answered; past LOST_S the relay has lost
-the source, ends all watches and turns new ones away, so that balancers are told by another relay. The last
+the source, ends all watches and turns new ones away, so that balancers follow another relay. The last
 list is still given to who asks for the list alone.
 """
 
@@ -43,14 +43,14 @@
     """The listener, its callers, and the beat."""
 
     def __init__(
-        self, catalog: Catalog, heard_at: Callable[[], float], connected: Callable[[], bool],
+        self, catalog: Catalog, last_line_at: Callable[[], float], connected: Callable[[], bool],
         whole_bytes_per_s: float, most_watchers: int, clock: Clock, log: Log, loop: asyncio.AbstractEventLoop,
     ) -> None:  # fmt: skip
-        """heard_at: when the source's last line came, on the clock; connected: a watch on it stands.
+        """last_line_at: when the source's last line came, on the clock; connected: a watch on it stands.
 
         most_watchers: the relay's share of the fleet; see room.py for what comes beyond it.
         """
-        self.catalog, self.heard_at, self.connected = catalog, heard_at, connected
+        self.catalog, self.last_line_at, self.connected = catalog, last_line_at, connected
         self.clock, self.log, self.loop = clock, log, loop
         self.turns = Turns(whole_bytes_per_s)
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -66,7 +66,7 @@
         self._began_at = clock.now()
         self._lost = False
         self._ticks = 0
-        self._told: Counter[str] = Counter()  # counts at the last summary
+        self._last_counts: Counter[str] = Counter()  # counts at the last summary
         self._pieces: deque[Caller] = deque()  # whose whole list goes on
         self._pumping = False
         self._framed: tuple[bytes, bytes] = b"", b""
@@ -130,12 +130,12 @@
     def source(self) -> Source:
         """How the relay stands to the source; a start counts as if something had been heard."""
         now = self.clock.now()
-        if self.connected() and now - self.heard_at() <= FRESH_S:
+        if self.connected() and now - self.last_line_at() <= FRESH_S:
             return Source.FRESH  # without a watch on it, it may have begun again
-        return Source.WAITING if now - max(self.heard_at(), self._began_at) <= LOST_S else Source.LOST
+        return Source.WAITING if now - max(self.last_line_at(), self._began_at) <= LOST_S else Source.LOST
 
     def changed(self) -> None:
-        """The catalog has changed: all watchers whose sockets take bytes are told, then who waited."""
+        """Send a change of the catalog to all watchers whose sockets take bytes, and answer who waits."""
         for caller in list(self.watchers):
             caller.advance()
         self._proceed()
@@ -165,18 +165,18 @@
             self._summary()
 
     def _summary(self) -> None:
-        new = self.counts - self._told
+        new = self.counts - self._last_counts
         if new:
             what = ", ".join(f"{name} {count}" for name, count in sorted(new.items()))
             self.log.line(
                 "relay", f"version {self.catalog.version}, {len(self.watchers)} watchers; since then: {what}"
             )
-            self._told = self.counts.copy()
+            self._last_counts = self.counts.copy()
 
     # ---- what is written
 
     def frame(self, line: bytes) -> bytes:
-        """A line as a chunk; one that many are told is framed once."""
+        """A line as a chunk; one that goes to many is framed once."""
         if line is not self._framed[0]:
             self._framed = line, b"%x\r\n%b\r\n" % (len(line), line)
         return self._framed[1]
--- a/tests/test_relay_catalog.py
+++ b/tests/test_relay_catalog.py
@@ -9,7 +9,7 @@
 import pytest
 
 from quartzford.membership.listing import Listing, read_listing
-from quartzford.relay.catalog import MOST_WHOLES, Catalog, Debt, Position
+from quartzford.relay.catalog import MOST_WHOLES, Catalog, Due, Position
 from quartzford.relay.room import AGAIN_S, Room
 from quartzford.relay.turns import MOST_RETRY_S, Turns
 
@@ -35,9 +35,9 @@
 
 
 def owed(catalog: Catalog, position: Position | None, index: int = 0) -> Any:
-    """The debt, or the changes' rows."""
-    debt, text = catalog.owed(position, index)
-    return json.loads(text)["hosts"] if debt is Debt.CHANGES else debt
+    """What is due, or the changes' rows."""
+    due, text = catalog.owed(position, index)
+    return json.loads(text)["hosts"] if due is Due.CHANGES else due
 
 
 def names(rows: Any) -> list[str]:
@@ -78,21 +78,21 @@
     assert catalog.owed(Position(1, 1)).line is first.line  # one encoding for all at a version
     catalog.apply(line(5, row("b", born_ms=5)))
     assert owed(catalog, None, 1) == [row("a", born_ms=3), row("b", born_ms=5)]
-    assert owed(catalog, None, 5) is Debt.NOTHING
+    assert owed(catalog, None, 5) is Due.NOTHING
     assert not catalog.apply(line(5, row("b", born_ms=5))) and not catalog.apply(line(4, row("b")))
     assert catalog.apply(line(6)) and owed(catalog, None, 5) == []
 
 
 def test_who_is_ahead_too_old_or_holds_what_was_never_held_here() -> None:
     catalog = Catalog()
-    assert owed(catalog, None, 7) is Debt.AHEAD and not catalog.apply(line(3, row("a")))
+    assert owed(catalog, None, 7) is Due.AHEAD and not catalog.apply(line(3, row("a")))
     with pytest.raises(ValueError, match="no list"):
         catalog.whole()
     for version in (7, 9, 10):
         catalog.apply(line(version, row("a", block=version), whole=version == 7))
-    assert [catalog.owed(None, n).debt for n in (0, 6, 8)] == [Debt.WHOLE] * 3
-    assert [catalog.owed(None, n).debt for n in (7, 9, 10, 11)] == [
-        Debt.CHANGES, Debt.CHANGES, Debt.NOTHING, Debt.AHEAD,
+    assert [catalog.owed(None, n).due for n in (0, 6, 8)] == [Due.WHOLE] * 3
+    assert [catalog.owed(None, n).due for n in (7, 9, 10, 11)] == [
+        Due.CHANGES, Due.CHANGES, Due.NOTHING, Due.AHEAD,
     ]  # fmt: skip
 
 
@@ -104,11 +104,11 @@
     assert not catalog.apply(line(9, row("b"), row("a", block=4), whole=True))
     assert catalog.apply(line(version, row("a", block=5), whole=True))
     assert catalog.position() == (before.life + 1, version)
-    assert owed(catalog, before) is Debt.WHOLE and owed(catalog, Position(before.life, version)) is Debt.WHOLE
-    assert [catalog.owed(None, n).debt for n in range(1, 11)] == [Debt.WHOLE] * 9 + [Debt.AHEAD]
+    assert owed(catalog, before) is Due.WHOLE and owed(catalog, Position(before.life, version)) is Due.WHOLE
+    assert [catalog.owed(None, n).due for n in range(1, 11)] == [Due.WHOLE] * 9 + [Due.AHEAD]
     here = catalog.position()
     catalog.apply(line(12, row("c")))
-    assert names(owed(catalog, here)) == ["c ready"] and owed(catalog, None, 12) is Debt.NOTHING
+    assert names(owed(catalog, here)) == ["c ready"] and owed(catalog, None, 12) is Due.NOTHING
     assert catalog.apply(line(12, row("c", block=8))) and catalog.position().life == before.life + 2
 
 
@@ -118,11 +118,11 @@
     for n in range(5):
         catalog.apply(line(n + 2, row(f"s{n}", health="gone")))
     assert len(catalog.gone) == 3 and catalog.floor == 3
-    assert owed(catalog, Position(1, 2)) is Debt.WHOLE and owed(catalog, None, 2) is Debt.WHOLE
+    assert owed(catalog, Position(1, 2)) is Due.WHOLE and owed(catalog, None, 2) is Due.WHOLE
     assert names(owed(catalog, None, 3)) == ["s2 gone", "s3 gone", "s4 gone"]
     for version in range(7, 11):
         catalog.apply(line(version))
-    assert catalog.floor == 5 and owed(catalog, Position(1, 4)) is Debt.WHOLE
+    assert catalog.floor == 5 and owed(catalog, Position(1, 4)) is Due.WHOLE
     assert names(owed(catalog, None, 5)) == ["s4 gone"]
 
 
@@ -132,7 +132,7 @@
     catalog.apply(line(2, *(r | {"block": 4} for r in rows[:1_000])))
     assert len(owed(catalog, None, 1)) == 1_000
     catalog.apply(line(3, rows[-1] | {"block": 4}))
-    assert owed(catalog, None, 1) is Debt.WHOLE and len(owed(catalog, None, 2)) == 1
+    assert owed(catalog, None, 1) is Due.WHOLE and len(owed(catalog, None, 2)) == 1
 
 
 def test_encodings_of_the_whole_that_are_in_use_are_bounded() -> None:
@@ -211,8 +211,8 @@
         self.kept: list[Any] = []
 
     def follow(self, catalog: Catalog) -> None:
-        debt, text = catalog.owed(self.position, self.version)
-        if debt in (Debt.WHOLE, Debt.AHEAD):  # the test's relays are never behind when this is asked
+        due, text = catalog.owed(self.position, self.version)
+        if due in (Due.WHOLE, Due.AHEAD):  # the test's relays are never behind when this is asked
             whole = catalog.whole()
             self.kept.append(whole)
             text, self.position = whole.line, whole.position
