node: two named constants in place of the tuple KILL_S

The formatter had laid the pair out over five lines, away from its comment. MOST_DEADLINE_S and KILL_MARGIN_S have the same values and the same use.

No behaviour is changed.

--- a/quartzford/node.py
+++ b/quartzford/node.py
@@ -35,10 +35,9 @@
 SWEEP_S = 0.25
 LISTED_S = 1.0
 NEW_CLIENTS_S = 0.6
-KILL_S = (
-    3.0,
-    0.7,
-)  # the platform kills no sooner after SIGTERM than the longest deadline, this at most, and this
+# The platform kills no sooner after SIGTERM than the longest deadline, MOST_DEADLINE_S at most, and a margin.
+MOST_DEADLINE_S = 3.0
+KILL_MARGIN_S = 0.7
 ANSWER_S, EXIT_S = 0.2, 0.1  # before that everything that is owed is answered, and the process exits
 SUMMARY_S = 10.0
 PASS_S = 0.02
@@ -203,8 +202,8 @@
     def _end_when_quiet(self) -> None:
         if self.front.draining:
             self.front.close_idle()
-        most, spare = KILL_S
-        limit = self.draining_since + min(most, self.engine.longest_ms / 1000.0) + spare - EXIT_S
+        deadline_s = min(MOST_DEADLINE_S, self.engine.longest_ms / 1000.0)
+        limit = self.draining_since + deadline_s + KILL_MARGIN_S - EXIT_S
         if self.clock.now() >= limit - (ANSWER_S - EXIT_S) and not self.engine.balancer.ending:
             self.engine.end_all()
         quiet = not self.front.clients and not self.front.accepting  # taken back, more may come for a moment
