membership/pieces: the parameter held is known, as elsewhere

Addresses.choose and the settings call what a balancer has already "known".

No behaviour is changed.

--- a/quartzford/membership/pieces.py
+++ b/quartzford/membership/pieces.py
@@ -1,8 +1,8 @@
 """A long list in pieces, so that no update holds the loop for long. No I/O.
 
 A rolling deploy of 10,000 servers costs over 100 ms at once; in pieces of 256 each turn of the loop takes a
-few. What takes servers away goes first: a drain is to be kept from the moment at which it was told. A whole
-list that comes while another is being taken in replaces what is left of it.
+few. What takes servers away goes first: a drain is to be kept from the moment at which it was announced. A
+whole list that comes while another is being taken in replaces what is left of it.
 """
 
 from __future__ import annotations
@@ -20,13 +20,13 @@
 Row = tuple[io.Entry, tuple[str, int]]
 
 
-def pieces(listing: Listing, held: Collection[str], size: int = PIECE) -> Iterator[Listing]:
+def pieces(listing: Listing, known: Collection[str], size: int = PIECE) -> Iterator[Listing]:
     """A listing as changes of so many entries at most, first what takes servers away; a short one as it is.
 
-    held: the names that are known, of which a whole list takes away those that it does not name. Where a
-    server is taken away in the end, what was said of it before is left out.
+    known: the names that are in use, of which a whole list takes away those that it does not name. Where a
+    server is taken away in the end, earlier entries of it are left out.
     """
-    if len(listing.entries) <= size and (not listing.whole or len(held) <= size):
+    if len(listing.entries) <= size and (not listing.whole or len(known) <= size):
         yield listing
         return
     last = {entry.server: entry.state for entry in listing.entries}
@@ -34,7 +34,7 @@
     taken = {row[0].server: row for row in rows if row[0].state != "ready" and last[row[0].server] != "ready"}
     first: Iterator[Row] = iter(taken.values())
     if listing.whole:
-        names = [name for name in held if name not in last]
+        names = [name for name in known if name not in last]
         gone = ((io.Entry(name, "", "", 0, "gone", 1.0, 0.0), NOWHERE) for name in names)
         first = chain(first, gone)
     rows = zip(listing.entries, listing.addresses, strict=True)
@@ -55,16 +55,16 @@
 
     def put(self, listing: Listing) -> None:
         """Add a listing; a whole one replaces all that waits."""
-        if listing.whole:  # it says all that what is left would have said
+        if listing.whole:  # it covers all that is left
             self.listings.clear()
             self.parts, self.following = iter(()), None
         self.listings.append(listing)
 
-    def next(self, held: Collection[str]) -> Listing | None:
-        """The next piece; None if nothing waits. held: the names known at this moment."""
+    def next(self, known: Collection[str]) -> Listing | None:
+        """The next piece; None if nothing waits. known: the names in use at this moment."""
         piece, self.following = self.following, None
         if piece is None and self.listings:
-            self.parts = pieces(self.listings.popleft(), held)
+            self.parts = pieces(self.listings.popleft(), known)
             piece = next(self.parts, None)
         if piece is not None:
             self.following = next(self.parts, None)
