rig: plain names for reports, link conditions and processes started at the gate

The clients' result and the plan they read were both "told"; they are report and settings. rig.faults: Way is Conditions, Script.way(forth) is Script.conditions(outbound), the word that the fault proxy used already. Process.hold and Processes.hold are start_at_gate. The tests' cases are the same, with these names. Fields of Scenario, the script's words and the JSON between processes stay.

No behaviour is changed.

--- a/rig/clients.py
+++ b/rig/clients.py
@@ -211,15 +211,15 @@
     reader = asyncio.StreamReader(limit=2**26)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     signal.signal(signal.SIGINT, signal.SIG_IGN)
-    told = json.loads(await reader.readline())
-    front = Front(told["balancers"], told["seed"])
+    settings = json.loads(await reader.readline())
+    front = Front(settings["balancers"], settings["seed"])
     print("ready", flush=True)
     begin = json.loads(await reader.readline())["begin"]
     watches = [asyncio.ensure_future(front.watch(n)) for n in range(len(front.targets))]
-    plan = plan_of(told["rate"], told["seconds"], told["seed"])
-    driver = Crowd(front, Manners(**told.get("manners", {})), plan, begin, told["seed"])
+    plan = plan_of(settings["rate"], settings["seconds"], settings["seed"])
+    driver = Crowd(front, Manners(**settings.get("manners", {})), plan, begin, settings["seed"])
     playing = asyncio.ensure_future(driver.run())
-    await asyncio.sleep(max(0.0, begin + told["seconds"] - monotonic()))
+    await asyncio.sleep(max(0.0, begin + settings["seconds"] - monotonic()))
     await asyncio.wait((playing,), timeout=5.0)
     driver.stop()
     await playing
--- a/rig/fault_proxy.py
+++ b/rig/fault_proxy.py
@@ -107,7 +107,7 @@
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection and open the way to the target."""
+        """Register the connection and connect to the target."""
         self.transport = cast(asyncio.Transport, transport)
         self.proxy.connections.add(self)
         self.open()
@@ -196,7 +196,7 @@
 
 
 class Direction:
-    """Bytes one way, in order, each piece not before its time."""
+    """Bytes in one direction, in order, each piece not before its time."""
 
     def __init__(self, connection: Connection, outbound: bool) -> None:
         self.connection, self.outbound = connection, outbound
@@ -209,10 +209,10 @@
     def take(self, data: bytes) -> None:
         """Queue bytes, each piece with the moment at which it may pass."""
         proxy = self.connection.proxy
-        way = proxy.script.way(self.connection.link, proxy.now(), self.outbound)
-        self.free_at = max(monotonic(), self.free_at) + lag(way, len(data), proxy.rng)
-        if way.rate and len(data) > way.rate / 10:
-            self._slowly(data, way.rate)
+        conditions = proxy.script.conditions(self.connection.link, proxy.now(), self.outbound)
+        self.free_at = max(monotonic(), self.free_at) + lag(conditions, len(data), proxy.rng)
+        if conditions.rate and len(data) > conditions.rate / 10:
+            self._slowly(data, conditions.rate)
         else:
             self.pending.append((self.free_at, data))
         self.pending_bytes += len(data)
@@ -249,7 +249,7 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        if not proxy.script.way(connection.link, proxy.now(), self.outbound).passes:
+        if not proxy.script.conditions(connection.link, proxy.now(), self.outbound).passes:
             return  # fault_changed() comes back when the fault ends
         now = monotonic()
         while self.pending and self.pending[0][0] <= now:
@@ -268,7 +268,7 @@
 
 
 class DatagramLink(asyncio.DatagramProtocol):
-    """Datagrams of one link, one way: the other way is a link of its own."""
+    """Datagrams of one link in one direction: the other direction is a link of its own."""
 
     transport: asyncio.DatagramTransport
 
@@ -283,8 +283,8 @@
     def datagram_received(self, data: bytes, address: Any) -> None:
         """Send as many copies as the script says, each after its delay."""
         proxy = self.proxy
-        way = proxy.script.way(self.link, proxy.now(), True)
-        arrivals = datagram(way, proxy.rng)
+        conditions = proxy.script.conditions(self.link, proxy.now(), True)
+        arrivals = datagram(conditions, proxy.rng)
         proxy.counts["datagrams" if arrivals else "datagrams lost"] += 1
         for wait in arrivals:
             proxy.loop.call_later(wait, self._send, data)
--- a/rig/faults.py
+++ b/rig/faults.py
@@ -3,7 +3,7 @@
 A script is lines of text, such as
 
     5 cut nodes[:100] lists until 9        # nothing passes, new connections hang
-    5 silent lists nodes[0] until 9        # one way only: what lists say to nodes[0] is held back
+    5 silent lists nodes[0] until 9        # one direction only: what lists say to nodes[0] is held back
     0 delay 0.2~0.1 nodes lists until 30   # seconds, and how much more at most
     2 loss 0.2 nodes nodes until 12        # of datagrams; TCP has its own remedy, and gets a delay
     2 trickle 4000 lists nodes             # bytes a second, both ways
@@ -44,7 +44,7 @@
     more: float = 0.0
 
 
-class Way(NamedTuple):
+class Conditions(NamedTuple):
     """What becomes of bytes from one end of a link to the other at some moment."""
 
     passes: bool = True
@@ -136,23 +136,23 @@
         return any(True for _ in self._of(link))
 
     def _of(self, link: Link) -> Iterable[tuple[Fault, bool]]:
-        """The faults of a link, and whether each is told in its own direction."""
+        """The faults of a link, and whether each names its ends in the link's order."""
         for fault in self.faults:
             if link.first in fault.first and link.second in fault.second:
                 yield fault, True
             elif link.second in fault.first and link.first in fault.second:
                 yield fault, False
 
-    def way(self, link: Link, now: float, forth: bool) -> Way:
-        """From link.first to link.second, or back."""
-        found = Way()
-        for fault, own in self._of(link):
+    def conditions(self, link: Link, now: float, outbound: bool) -> Conditions:
+        """What holds from link.first to link.second (outbound), or from second to first."""
+        found = Conditions()
+        for fault, same_direction in self._of(link):
             if not fault.at <= now < fault.until:
                 continue
             match fault.kind:
                 case "cut":
                     found = found._replace(passes=False)
-                case "silent" if own == forth:
+                case "silent" if same_direction == outbound:
                     found = found._replace(passes=False)
                 case "delay":
                     found = found._replace(delay=found.delay + fault.figure, jitter=found.jitter + fault.more)
@@ -181,20 +181,21 @@
         return sorted({fault.at for fault in self.faults} | set(ends))
 
 
-def datagram(way: Way, rng: random.Random) -> list[float]:
+def datagram(conditions: Conditions, rng: random.Random) -> list[float]:
     """When copies of a datagram arrive, in seconds from now; none where it is lost."""
-    if not way.passes or rng.random() < way.loss:
+    if not conditions.passes or rng.random() < conditions.loss:
         return []
-    copies = 2 if rng.random() < way.double else 1
-    late = [way.delay + way.jitter * rng.random() for _ in range(copies)]
-    return [at + (REORDER_S if rng.random() < way.reorder else 0.0) for at in late]
+    copies = 2 if rng.random() < conditions.double else 1
+    late = [conditions.delay + conditions.jitter * rng.random() for _ in range(copies)]
+    return [at + (REORDER_S if rng.random() < conditions.reorder else 0.0) for at in late]
 
 
-def lag(way: Way, size: int, rng: random.Random, round_trip: float = 0.2) -> float:
+def lag(conditions: Conditions, size: int, rng: random.Random, round_trip: float = 0.2) -> float:
     """How long a piece of a stream takes more: delay, what its length costs, and a loss's retransmission."""
-    wait = way.delay + way.jitter * rng.random() + (size / way.rate if way.rate else 0.0)
+    sending = size / conditions.rate if conditions.rate else 0.0
+    wait = conditions.delay + conditions.jitter * rng.random() + sending
     tries = 0
-    while tries < 6 and rng.random() < way.loss:
+    while tries < 6 and rng.random() < conditions.loss:
         wait += round_trip * 2.0**tries
         tries += 1
     return wait
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -42,7 +42,7 @@
     wanted_end: bool = False
     crashes: list[str] = field(default_factory=list)
 
-    def hold(self) -> None:
+    def start_at_gate(self) -> None:
         """Start it up to the gate."""
         self.note_end()
         self.lives += 1
@@ -123,14 +123,14 @@
     ) -> None:
         self.end()
 
-    def hold(self, members: Iterable[Process] | None = None) -> None:
+    def start_at_gate(self, members: Iterable[Process] | None = None) -> None:
         """Start them up to the gate, some at a time: a start costs half a second of a core."""
         chosen = list(self.members if members is None else members)
         at_once, until = 2 * (os.cpu_count() or 1), time.monotonic() + START_S
         for first in range(0, len(chosen), at_once):
             part = chosen[first : first + at_once]
             for one in part:
-                one.hold()
+                one.start_at_gate()
             for one in part:
                 one.wait_ready(until)
 
--- a/rig/scale.py
+++ b/rig/scale.py
@@ -195,7 +195,7 @@
         sources = [f"{relay_address(n)}:{way}" for n, way in enumerate(self.relay_ways)]
         self.relay_fleet = relay_processes(self.addresses, sources, plan.fleet(), plan.per_s, self.folder)
         self.stack.enter_context(self.relay_fleet)
-        self.relay_fleet.hold()
+        self.relay_fleet.start_at_gate()
 
     def _start_hollow(self) -> None:
         plan = self.plan
@@ -304,16 +304,16 @@
     # ---- what it came to
 
     def _result(
-        self, told: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
+        self, report: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
     ) -> dict[str, Any]:
-        result = super()._result(told, books, service, memory, crashes)
+        result = super()._result(report, books, service, memory, crashes)
         for one in self.relay_fleet.members:
             one.note_end()
         crashed = [text for one in self.relay_fleet.members for text in one.crashes]
         result["crashes"] += crashed
         result["kept"] = result["kept"] and not crashed
-        steps = {int(second): counts for second, counts in told["steps"].items()}
-        unserved = {int(second): counts for second, counts in told["unserved"].items()}
+        steps = {int(second): counts for second, counts in report["steps"].items()}
+        unserved = {int(second): counts for second, counts in report["unserved"].items()}
         return result | {
             "plan": self.plan, "began": self.began, "seen": self.seen, "steps": steps, "unserved": unserved,
             "source_calls": service.get("calls", []),
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -130,17 +130,17 @@
             self._balancers()
             self._clients()
             with self.processes:
-                self.processes.hold()
+                self.processes.start_at_gate()
                 self._release()
                 self._carry_out()
-                told = json.loads(self.clients.stdout.readline() or b"{}")
+                report = json.loads(self.clients.stdout.readline() or b"{}")
                 memory = max((one.resident_mb() for one in self.processes.members), default=0.0)
                 self._tell(self.proxy, {"counts": 1})
                 self.taken = json.loads(self.proxy.stdout.readline())["taken"]
                 books = self._fetch(self.upstreams_port)
                 service = self._fetch(self.service_port)
                 crashes = self.processes.crashes()
-            return self._result(told, books, service, memory, crashes)
+            return self._result(report, books, service, memory, crashes)
 
     def _helper(self, *arguments: str) -> Any:
         return self.stack.enter_context(helper(*arguments))
@@ -151,9 +151,9 @@
         if scenario.cold:
             plan["fresh"] = plan.get("nodos", 12)
         self.upstreams = self._helper("standins.fleet", json.dumps(plan))
-        told = json.loads(self.upstreams.stdout.readline())
-        self.upstreams_port = told["port"]
-        self.hosts: list[dict[str, Any]] = told["list"]["hosts"]
+        announced = json.loads(self.upstreams.stdout.readline())
+        self.upstreams_port = announced["port"]
+        self.hosts: list[dict[str, Any]] = announced["list"]["hosts"]
         self.service = self._helper("standins.listservice", json.dumps(scenario.service))
         self.service_port = json.loads(self.service.stdout.readline())["port"]
         self._tell(self.service, {"hosts": self._rows()})
@@ -169,7 +169,7 @@
         process.stdin.flush()
 
     def _fault_proxy(self) -> None:
-        """Every balancer's own way to the list service, under its own address there."""
+        """Every balancer's own link to the list service, under its own address there."""
         rows = self._links()
         self.proxy = self._helper("rig.fault_proxy")
         plan = {"script": self.scenario.faults, "groups": self.groups, "seed": self.scenario.seed}
@@ -294,7 +294,7 @@
         number = int(one.name[1:])
         (self.folder / f"{one.name}.json").write_text(json.dumps(self._config(number, one.lives)))
         self.begun.append((number, time.monotonic()))
-        one.hold()
+        one.start_at_gate()
         one.release()
 
     def _signal(self, chosen: list[Process], what: str) -> None:
@@ -334,7 +334,7 @@
         """Tries that ended with the process that had taken them, killed outright: nobody can answer these.
 
         Their connections were made before its next life began, and ended soon after the kill. Not before the
-        kill: one that is told to die takes connections until it has, and a busy client notes them late.
+        kill: one that gets SIGTERM takes connections until it has, and a busy client notes them late.
         """
         return {
             identity for identity, where, made, ended in lost
@@ -353,30 +353,32 @@
         return [counts[second] for second in range(int(self.scenario.seconds))]
 
     def _result(
-        self, told: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
+        self, report: dict[str, Any], books: Any, service: Any, memory: float, crashes: list[str]
     ) -> dict[str, Any]:
-        if not told or not books:
+        if not report or not books:
             raise RuntimeError("the clients or the upstreams gave no books")
-        killed = self._killed(told["lost"])
-        tries = [(i, name, "killed" if end == LOST and i in killed else end) for i, name, end in told["book"]]
-        verdict = judge(books, tries, BRIEF, told["twice"])
+        killed = self._killed(report["lost"])
+        tries = [
+            (i, name, "killed" if end == LOST and i in killed else end) for i, name, end in report["book"]
+        ]
+        verdict = judge(books, tries, BRIEF, report["twice"])
         # Calls that found nobody are in the proxy's book alone, those past the proxy in the service's.
         direct = [row for row in service.get("calls", ()) if row[1] == "127.0.0.1"]
         calls = sorted(row[0] - self.began for row in [*self.taken, *direct])
         per = Counter(number for _, number in self.taken)
         answers = service.get("answers", ())
-        times = [at for at in told["taken_in_s"] if at is not None]
+        times = [at for at in report["taken_in_s"] if at is not None]
         return {
             "balancers": self.scenario.balancers, "serving": len(times),
-            "all_after_s": max(times, default=0.0), "taken_in_s": told["taken_in_s"],
+            "all_after_s": max(times, default=0.0), "taken_in_s": report["taken_in_s"],
             "calls": len(calls), "calls_s": [round(at, 3) for at in calls],
             "most_1s": most_in(calls, 1.0), "most_100ms": most_in(calls, 0.1),
             "most_of_one": max(per.values(), default=0),
             "answered": sum(row[2] == "answered" for row in answers),
             "for_nobody": sum(row[2] == "for nobody" for row in answers),
             "turned_away": sum(row[2] == "turned away" for row in answers),
-            "bytes": service.get("bytes", 0), "ends": told["ends"], "latency_ms": told["latency_ms"],
-            "late_ms": told["late_ms"], "goodput": told["goodput"], "seconds": told["seconds"],
+            "bytes": service.get("bytes", 0), "ends": report["ends"], "latency_ms": report["latency_ms"],
+            "late_ms": report["late_ms"], "goodput": report["goodput"], "seconds": report["seconds"],
             "sends": {name: self._by_second(rows) for name, rows in books["arrivals"].items()},
             "rules": verdict["rules"], "kept": verdict["kept"] and not crashes, "cold": verdict["cold"],
             "crashes": crashes[:10], "memory_mb": round(memory, 1), "done": self.done,
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -19,7 +19,7 @@
 import uvloop
 
 from rig.capacity import Machine, most_processes, refusal
-from rig.faults import Link, Script, ScriptError, Way, datagram, lag, members, read_script
+from rig.faults import Conditions, Link, Script, ScriptError, datagram, lag, members, read_script
 from rig.processes import ROOT
 from rig.scenario import Scenario, TooManyError, most_in, play, read_events
 
@@ -54,25 +54,29 @@
 
 
 @pytest.mark.parametrize(
-    ("script", "at", "forth", "way"),
+    ("script", "at", "outbound", "conditions"),
     [
-        ("1 cut nodes[:6] lists until 3", 0.9, True, Way()),
-        ("1 cut nodes[:6] lists until 3", 1.0, True, Way(passes=False)),
-        ("1 cut lists nodes[:6] until 3", 2.9, False, Way(passes=False)),
-        ("1 cut nodes[:6] lists until 3", 3.0, True, Way()),
-        ("1 cut nodes[4:] lists until 3", 2.0, True, Way()),
-        ("1 silent nodes lists", 2.0, True, Way(passes=False)),
-        ("1 silent nodes lists", 2.0, False, Way()),
-        ("1 silent lists nodes", 2.0, True, Way()),
-        ("1 silent lists nodes", 2.0, False, Way(passes=False)),
-        ("0 delay 0.2~0.1 nodes lists\n0 delay 0.3 lists nodes", 5.0, True, Way(delay=0.5, jitter=0.1)),
-        ("0 loss 0.5 nodes lists\n0 loss 0.5 nodes lists", 0.0, True, Way(loss=0.75)),
-        ("0 trickle 400 nodes lists # slow\n0 trickle 100 nodes lists", 1.0, True, Way(rate=100.0)),
-        ("0 double 0.1 nodes lists\n0 reorder 0.2 nodes lists", 1.0, False, Way(double=0.1, reorder=0.2)),
+        ("1 cut nodes[:6] lists until 3", 0.9, True, Conditions()),
+        ("1 cut nodes[:6] lists until 3", 1.0, True, Conditions(passes=False)),
+        ("1 cut lists nodes[:6] until 3", 2.9, False, Conditions(passes=False)),
+        ("1 cut nodes[:6] lists until 3", 3.0, True, Conditions()),
+        ("1 cut nodes[4:] lists until 3", 2.0, True, Conditions()),
+        ("1 silent nodes lists", 2.0, True, Conditions(passes=False)),
+        ("1 silent nodes lists", 2.0, False, Conditions()),
+        ("1 silent lists nodes", 2.0, True, Conditions()),
+        ("1 silent lists nodes", 2.0, False, Conditions(passes=False)),
+        ("0 delay 0.2~0.1 nodes lists\n0 delay 0.3 lists nodes", 5.0, True,
+         Conditions(delay=0.5, jitter=0.1)),
+        ("0 loss 0.5 nodes lists\n0 loss 0.5 nodes lists", 0.0, True, Conditions(loss=0.75)),
+        ("0 trickle 400 nodes lists # slow\n0 trickle 100 nodes lists", 1.0, True, Conditions(rate=100.0)),
+        ("0 double 0.1 nodes lists\n0 reorder 0.2 nodes lists", 1.0, False,
+         Conditions(double=0.1, reorder=0.2)),
     ],
 )  # fmt: skip
-def test_what_holds_on_a_link_at_a_moment(script: str, at: float, forth: bool, way: Way) -> None:
-    assert Script(read_script(script, GROUPS)).way(LINK, at, forth) == way
+def test_what_holds_on_a_link_at_a_moment(
+    script: str, at: float, outbound: bool, conditions: Conditions
+) -> None:
+    assert Script(read_script(script, GROUPS)).conditions(LINK, at, outbound) == conditions
 
 
 def test_connections_at_a_moment_resets_and_links_that_no_line_touches() -> None:
@@ -93,16 +97,16 @@
 
 def test_datagrams_are_lost_doubled_and_late_by_the_shares_told() -> None:
     rng = random.Random(1)
-    way = Way(loss=0.2, double=0.1, reorder=0.3, delay=1.0)
-    got = [datagram(way, rng) for _ in range(20_000)]
+    conditions = Conditions(loss=0.2, double=0.1, reorder=0.3, delay=1.0)
+    got = [datagram(conditions, rng) for _ in range(20_000)]
     assert 0.18 < sum(not copies for copies in got) / len(got) < 0.22
     assert 0.07 < sum(len(copies) == 2 for copies in got) / len(got) < 0.09
     late = [at for copies in got for at in copies]
     assert min(late) == 1.0 and 0.28 < sum(at > 1.0 for at in late) / len(late) < 0.32
-    assert 1.2 < max(datagram(Way(delay=1.0, jitter=0.25), rng)[0] for _ in range(500)) <= 1.25
-    assert datagram(Way(passes=False), rng) == []
-    assert [lag(Way(rate=100.0), 50, rng), lag(Way(delay=0.5), 50, rng)] == [0.5, 0.5]
-    assert 0.05 < sum(lag(Way(loss=0.2), 9, rng) for _ in range(9_000)) / 9_000 < 0.09
+    assert 1.2 < max(datagram(Conditions(delay=1.0, jitter=0.25), rng)[0] for _ in range(500)) <= 1.25
+    assert datagram(Conditions(passes=False), rng) == []
+    assert [lag(Conditions(rate=100.0), 50, rng), lag(Conditions(delay=0.5), 50, rng)] == [0.5, 0.5]
+    assert 0.05 < sum(lag(Conditions(loss=0.2), 9, rng) for _ in range(9_000)) / 9_000 < 0.09
 
 
 class Echo(asyncio.Protocol):
