CAPACITY: times of the scale run are told with the balancers that they leave out

Saw: 'each asks itself, last 64 s (4,620 balancers)' where 2,178 never had a list. Cause: times are of those alone that had one; neither the page nor its JSON rows said how many. Change: with_list, missing and rows in the JSON's events (worked out anew from the runs, nothing played), two columns and words on the page; an unknown name of a run is refused.

--- a/bench/capacity_events.py
+++ b/bench/capacity_events.py
@@ -37,7 +37,21 @@
         return NOT_MEASURED
     parts = (("p50", event.p50_s), ("p99", event.p99_s), ("last", event.last_s))
     told = ", ".join(f"{name} {value:.2f} s" for name, value in parts if value is not None)
-    return f"{told} ({event.hollow + event.real:,} balancers)"
+    return f"{told} ({_of(event)})"
+
+
+def _of(event: ScaleEvent) -> str:
+    """The balancers that the times are of, those that they leave out, and the list's size."""
+    fleet = event.hollow + event.real
+    listed = fleet if event.with_list is None else event.with_list
+    parts = [f"{listed:,.0f} balancers"]
+    if listed < fleet:
+        parts = [f"{listed:,.0f} of {fleet:,} balancers, the others had no list"]
+    if event.missing:
+        parts.append(f"**never at {event.missing:,.0f} of them**")
+    if event.rows is not None:
+        parts.append(f"{event.rows:,.0f} rows")
+    return ", ".join(parts)
 
 
 def _told(model: Model, rows: float, askers: float) -> str:
--- a/bench/capacity_inputs.py
+++ b/bench/capacity_inputs.py
@@ -146,6 +146,9 @@
     source_calls: float | None
     bytes_out: float | None  # of all that balancers received
     requests: str = ""  # what the real balancers' requests noticed
+    rows: float | None = None  # of the list
+    with_list: float | None = None  # balancers that the times are of: the others had no list before
+    missing: float | None = None  # of these, where it was never in force
 
 
 @dataclass(frozen=True)
@@ -259,8 +262,8 @@
 def read_scale(table: Any) -> tuple[ScaleEvent, ...]:
     """The events of scale.json: {"events": [{"event", "way", "hollow", "real", ...}]}.
 
-    way is "source" or "relays"; p50_s, p99_s, last_s, source_calls, bytes_out and requests (a text) may be
-    left out or null where they were not measured.
+    way is "source" or "relays"; p50_s, p99_s, last_s, source_calls, bytes_out, rows, with_list, missing and
+    requests (a text) may be left out or null where they were not measured.
     """
     try:
         return tuple(_event(row) for row in table["events"])
@@ -273,7 +276,8 @@
     return ScaleEvent(
         event=str(row["event"]), way=str(row["way"]), hollow=int(row["hollow"]), real=int(row["real"]),
         p50_s=part("p50_s"), p99_s=part("p99_s"), last_s=part("last_s"), source_calls=part("source_calls"),
-        bytes_out=part("bytes_out"), requests=str(row.get("requests", "")),
+        bytes_out=part("bytes_out"), requests=str(row.get("requests", "")), rows=part("rows"),
+        with_list=part("with_list"), missing=part("missing"),
     )  # fmt: skip
 
 
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -216,13 +216,21 @@
 def scale(figures: Figures) -> str:
     """Every event of scale.json."""
     rows = [
-        (e.event, e.way, f"{e.hollow:,} + {e.real}", quantity(e.p50_s, "s"), quantity(e.p99_s, "s"),
-         quantity(e.last_s, "s"), NOT_MEASURED if e.source_calls is None else digits(e.source_calls),
-         quantity(e.bytes_out, "bytes"))
+        (e.event, e.way, f"{e.hollow:,} + {e.real}", count(e.with_list), count(e.missing),
+         quantity(e.p50_s, "s"), quantity(e.p99_s, "s"), quantity(e.last_s, "s"),
+         NOT_MEASURED if e.source_calls is None else digits(e.source_calls), quantity(e.bytes_out, "bytes"))
         for e in figures.events
     ]  # fmt: skip
-    head = ("event", "lists from", "hollow + real", "p50", "p99", "last", "calls at the source", "bytes told")
-    return table(head, rows or [(NOT_MEASURED, *("-",) * 7)])
+    head = (
+        "event", "lists from", "hollow + real", "had a list", "never in force", "p50", "p99", "last",
+        "calls at the source", "bytes told",
+    )  # fmt: skip
+    return table(head, rows or [(NOT_MEASURED, *("-",) * 9)])
+
+
+def count(value: float | None) -> str:
+    """A whole number; a dash where nothing was counted."""
+    return "-" if value is None else f"{value:,.0f}"
 
 
 # ---- the page
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -128,6 +128,7 @@
             "p99_s": max(hollow["p99_s"], real["p99_s"]) if both else None,
             "last_s": max(hollow["last_s"], real["last_s"]) if both else None,
             "missing": hollow["missing"] + real["missing"],
+            "with_list": min(hollow["of"] + real["of"], run["hollow"] + run["real"]) if both else None,
             "source_calls": sum(event["source"]["calls"].values()), "bytes_out": round(told),
             "requests": noticed(event, run["events"]),
         })  # fmt: skip
@@ -304,6 +305,8 @@
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))  # ends what was started
     chosen = runs(options)
+    if not chosen and not options.add:  # with --add the file's rows are worked out anew
+        parser.error(f"no run of that name: {', '.join(options.only)}")
     found = [run for name, plan in chosen if (run := played(name, plan)) is not None]
     for run in found:
         run["checks"] = [check._asdict() | {"kept": check.kept()} for check in checks(run)]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -276,3 +276,15 @@
     line = (ROOT / ".ci" / "run").read_text().splitlines()[-1]
     assert "mypy && .venv/bin/python -m bench.capacity && .venv/bin/python -m pytest" in line
     assert line in (ROOT / "README.md").read_text()
+
+
+def test_times_are_shown_with_the_balancers_that_they_leave_out() -> None:
+    """Those that never had a list, or never the change, have no time: times alone would hide them."""
+    event = {
+        "event": "all start", "way": "source", "hollow": 4_600, "real": 20, "rows": 2_000, "with_list": 2_442,
+        "missing": 791, "p50_s": 1.0, "p99_s": 2.0, "last_s": 3.0,
+    }  # fmt: skip
+    shown = blocks(model(scale={"events": [event]}))
+    assert "| 4,600 + 20 | 2,442 | 791 |" in shown["scale"]
+    assert "2,442 of 4,620 balancers" in shown["events"]
+    assert "never at 791 of them" in shown["events"] and "2,000 rows" in shown["events"]
