--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,6 +12,7 @@
 import rig
 
 MEMORY_MB = 96  # between 32 and 192 MB
+DESCRIPTORS = 640  # between 256 and 1,024
 LONG_BODY = bytes(32 * 1024 * 1024)
 LONG_BODIES = 3  # 96 MB together: more at once than memory holds
 WORK_S = 0.45  # of a long request, within its class's aim
@@ -131,7 +132,7 @@
         await upstream.start()
     agent = rig.Agent(upstreams)
     await agent.start()
-    balancer = rig.Balancer(record, agent, MEMORY_MB)
+    balancer = rig.Balancer(record, agent, MEMORY_MB, DESCRIPTORS)
     await balancer.start(folder)
     lag = Lag()
     measuring = asyncio.ensure_future(lag.run())
--- a/review/rig.py
+++ b/review/rig.py
@@ -236,7 +236,7 @@
 class Balancer:
     """One balancer process, started by the deploy file's `run`."""
 
-    def __init__(self, record: Record, agent: Agent, memory_mb: int = 192, sockets: int = 1024) -> None:
+    def __init__(self, record: Record, agent: Agent, memory_mb: int = 96, sockets: int = 640) -> None:
         self.record, self.agent = record, agent
         self.limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
         self.settings = SETTINGS
