Clients: a connection paused for lack of memory is read again after its answer

Callers saw: while long bodies filled the memory for buffers, a short POST was answered, and the next request on its connection was never read. No answer came, and the connection was reset as idle 2.3 s later, also with memory free again.

Cause: Client.body_received pauses the transport when the budget is exhausted, also at a body's last piece. Client.request_completed then set paused_at to 0 and left the transport paused. The time-out check resumes only what has paused_at set and a request in part, so nothing resumed a connection at rest.

Change: the pause for memory and the pause for a full pipeline are two states, and reading goes on when neither holds. The pause for memory ends when there is memory, also behind a request in service, and at the latest when all requests that were read are answered. No bound is taken away: while a request is open nothing is read earlier than before, and a body that waits for memory for over a second gets its 503 as before.

--- a/quartzford/fronts/client_connection.py
+++ b/quartzford/fronts/client_connection.py
@@ -40,8 +40,9 @@
     response. closing: received bytes are discarded.
 
     Times in seconds on the engine's clock: message_started, when the first byte of the last request was
-    received; last_progress, when a byte was last read or written; paused_at, since when reading of a body has
-    been paused for lack of memory, 0 if it is not paused.
+    received; last_progress, when a byte was last read or written; paused_at, since when reading has been
+    paused for lack of memory, 0 if it is not paused for that. Such a pause ends once there is memory, and at
+    the latest when all requests that were read are answered.
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "closing",
         "lingering",
         "paused_at",
+        "pipeline_full",
     )
     transport: asyncio.Transport
 
@@ -74,6 +76,7 @@
         self.closing = False
         self.lingering: LingeringClose | None = None
         self.paused_at = 0.0
+        self.pipeline_full = False  # reading is paused until all pipelined requests are served
 
     # ---- state
 
@@ -216,10 +219,13 @@
             self.paused_at = self.paused_at or self.front.now()
             self.front.pause_reading(self)
 
-    def resume_body(self) -> None:
-        """Resume reading a body: the budget has memory for it."""
+    def end_memory_pause(self) -> None:
+        """Resume reading if it was paused for lack of memory, unless the pipeline is full."""
+        if not self.paused_at:
+            return
         self.paused_at = 0.0
-        self.front.resume_reading(self)
+        if not self.pipeline_full:
+            self.front.resume_reading(self)
 
     def body_too_large(self) -> None:
         """Release the buffered part of a body that exceeds the maximum size."""
@@ -227,19 +233,18 @@
 
     def _drop_body(self) -> None:
         self.front.budget.used -= self.reader.drop_body()
-        self.paused_at = 0.0
 
     def request_completed(self) -> None:
         """Serve the request, or queue it if an earlier request on this connection is not answered."""
         front = self.front
         exchange = new_exchange(self.reader, self, front.backend, front.budget)
-        self.paused_at = 0.0
         request = None
         if not self.reader.is_health_check:
             request = new_request(self.reader, exchange, front.engine, front.now())
         if self.exchange is not None or self.pipelined_requests:
             self.pipelined_requests.append(PipelinedRequest(exchange, request))
             if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
+                self.pipeline_full = True
                 self.front.pause_reading(self)
         else:
             self._serve(exchange, request)
@@ -255,8 +260,10 @@
     def _serve_next(self) -> None:
         """Serve the next pipelined request, with the time that is left until its deadline."""
         exchange, request = self.pipelined_requests.popleft()
-        if not self.pipelined_requests:
-            self.front.resume_reading(self)
+        if not self.pipelined_requests and self.pipeline_full:
+            self.pipeline_full = False
+            if not self.paused_at:
+                self.front.resume_reading(self)
         if request is not None:
             left_s = max(0.0, exchange.deadline - self.last_progress)
             request = request._replace(budget_ms=left_s * 1000.0)
@@ -351,7 +358,13 @@
             self._serve_next()
         elif self.error:
             self.reject(self.error)
-        elif self.front.transfer_to_successor is not None:
+        else:
+            self._wait_for_request()
+
+    def _wait_for_request(self) -> None:
+        """Read the next request, which may be short, even if there is no memory for a long body."""
+        self.end_memory_pause()
+        if self.front.transfer_to_successor is not None:
             self.front.clock.call_soon(self.front.offer, self)  # after the response is flushed
 
     def _release_unflushed(self) -> None:
--- a/quartzford/fronts/client_timeouts.py
+++ b/quartzford/fronts/client_timeouts.py
@@ -16,6 +16,8 @@
 
 def check_timeouts(client: Client, budget: BufferBudget, now: float) -> None:
     """Close or reject a connection that has exceeded a limit. now: in seconds, on the engine's clock."""
+    if not budget.is_exhausted():
+        client.end_memory_pause()
     unsent_bytes = client.transport.get_write_buffer_size()
     if client.lingering is not None and client.lingering.expired(now):
         client.transport.abort()
@@ -24,7 +26,7 @@
     elif client.closing:
         return
     elif client.exchange is None and client.in_message:
-        _check_request(client, budget, now)
+        _check_request(client, now)
     elif now - client.last_progress > IDLE_TIMEOUT_S:
         client.close_if_idle()
 
@@ -37,14 +39,12 @@
         client.transport.abort()
 
 
-def _check_request(client: Client, budget: BufferBudget, now: float) -> None:
+def _check_request(client: Client, now: float) -> None:
     if client.reader.in_head:
         stalled = now - client.message_started > HEAD_TIMEOUT_S
     else:
         stalled = now - client.last_progress > BODY_STALL_S
     if stalled or now - client.message_started > REQUEST_TIMEOUT_S:
         client.reject(REQUEST_TIMEOUT)
-    elif client.paused_at and not budget.is_exhausted():
-        client.resume_body()
     elif client.paused_at and now - client.paused_at > MAX_BODY_PAUSE_S:
         client.reject(UNAVAILABLE)
