Upstreams: a connection paused by a slow client is read again before it is reused

Callers saw: after a slow client had read a long answer, the next request on the same upstream connection had no answer in its time, though the upstream had answered.

Cause: HttpAttempt.pause stops reading while a client reads slowly. Where the answer's last piece is the one that pauses, the attempt ends in the same turn, HttpAttempt._detach keeps the connection as idle while it is paused, and Client.resume_writing finds no streamed attempt to resume. Nothing reads the connection again.

Evidence: test_upstream_connection_is_read_for_next_request_after_slow_client forces the order with small kernel buffers. With a length and in chunks it failed before: the second request had no answer within 3 s. An answer ended by the upstream's close is not concerned, as its connection is not reused.

Change: a connection that is kept is read again first; bytes that come then end it as on any idle connection.

--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -298,14 +298,14 @@
     def pause(self) -> None:
         """Stop reading a streamed response, as its client reads more slowly."""
         self.last_progress = self.pool.now()
-        if self.connection is not None and not self.connection.transport.is_closing():
-            self.connection.transport.pause_reading()
+        if self.connection is not None:
+            self.connection.pause_reading()
 
     def resume(self) -> None:
         """Continue to read a streamed response."""
         self.last_progress = self.pool.now()
-        if self.connection is not None and not self.connection.transport.is_closing():
-            self.connection.transport.resume_reading()
+        if self.connection is not None:
+            self.connection.resume_reading()
 
     # ---- the end
 
@@ -357,6 +357,7 @@
             return
         connection.attempt = None
         if keep:
+            connection.resume_reading()  # its client may have been slow up to the response's last byte
             self.upstream.keep_idle(connection)
         else:
             connection.close()
--- a/quartzford/backends/upstream_connection.py
+++ b/quartzford/backends/upstream_connection.py
@@ -147,6 +147,16 @@
         assert self.response is not None
         return not self.response.broken and self.flushed and not self.transport.is_closing()
 
+    def pause_reading(self) -> None:
+        """Stop reading: what the upstream sends stays in the kernel's buffer."""
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Resume reading, if it was stopped."""
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def close(self) -> None:
         """Close the connection at once."""
         self.attempt = None
--- a/tests/test_reading_resumes.py
+++ b/tests/test_reading_resumes.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, read_message, reply, request, wait_until
-from test_endings import respond_after
+from peers import BalancerTestbed, Message, async_test, read_message, reply, request, wait_until
+from test_endings import connect_raw, respond_after
 
+from quartzford.backends.connection_pool import MIN_IDLE_S
 from quartzford.fronts.client_connection import MAX_PIPELINED_REQUESTS
 
 LIMIT_BYTES = 1_000_000
+SMALL_BUFFER_BYTES = 4096
 
 
 def post(framing: str) -> bytes:
@@ -103,3 +106,80 @@
         for _ in range(3):
             assert (await asyncio.wait_for(read_message(reader), 2)).status == 200
         assert budget.used == 0
+
+
+# ---- upstream connections, which are paused while a client reads its response slowly
+
+
+async def connect_slow_client(testbed: BalancerTestbed) -> socket.socket:
+    """Connect a client for which the kernel buffers little."""
+    sock = await connect_raw(testbed, SMALL_BUFFER_BYTES)
+    await wait_until(lambda: testbed.node.front.clients)
+    (client,) = testbed.node.front.clients
+    balancer_side = client.transport.get_extra_info("socket")
+    balancer_side.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+    return sock
+
+
+async def read_exactly(sock: socket.socket, size: int) -> bytes:
+    """Return this many bytes of the balancer's output."""
+    data = b""
+    while len(data) < size:
+        piece = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, size - len(data)), 3)
+        assert piece, "the connection ended"
+        data += piece
+    return data
+
+
+async def read_head(sock: socket.socket) -> bytes:
+    """Return the head of the next response."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n"):
+        head += await read_exactly(sock, 1)
+    return head
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_upstream_connection_is_read_for_next_request_after_slow_client(framing: str) -> None:
+    """Paused at a response's last piece, the connection was reused unread: the next response timed out."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            first_size, last_size = 30_000, 40_000
+            gate = asyncio.Event()
+
+            async def in_two_pieces(message: Message, writer: asyncio.StreamWriter) -> None:
+                if len(testbed.upstreams[0].received) > 1:
+                    return writer.write(reply(b"next"))
+                size = first_size + last_size
+                body = b"f" * first_size, b"l" * last_size
+                if framing == "length":
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (size, body[0]))
+                    await gate.wait()
+                    writer.write(body[1])
+                else:
+                    testbed.node.budget.limit = 0  # the response is streamed though it may be short
+                    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    writer.write(b"%x\r\n%b\r\n" % (first_size, body[0]))
+                    await gate.wait()
+                    writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (last_size, body[1]))
+
+            testbed.upstreams[0].script = in_two_pieces
+            sock = await connect_slow_client(testbed)
+            sock.send(request())
+            await read_head(sock)
+            chunk_head = len(b"7530\r\n") if framing == "chunked" else 0
+            await read_exactly(sock, chunk_head + first_size)
+            (client,) = testbed.node.front.clients
+            await wait_until(lambda: not client.write_blocked)
+            gate.set()
+            await wait_until(lambda: client.write_blocked and testbed.outcomes() == ["ok"])
+            chunk_ends = len(b"\r\n9c40\r\n\r\n0\r\n\r\n") if framing == "chunked" else 0
+            await read_exactly(sock, chunk_ends + last_size)
+            await asyncio.sleep(2 * MIN_IDLE_S)
+            sock.send(request("pay", b""))
+            assert b" 200 " in await read_head(sock) and await read_exactly(sock, 4) == b"next"
+            assert len(testbed.upstreams[0].writers) == 1
+            sock.close()
+
+    uvloop.run(test())
