Streams: a response that begins behind an unread one pauses its upstream

Callers saw nothing; operators could see memory over its limit. A client that sends two requests and reads slowly had all of the second, long answer buffered, up to 32 MB for each such client.

Cause: asyncio calls pause_writing once, when the write buffer fills. If it filled with an earlier answer, no attempt was streamed at that moment, and the attempt that began to stream afterwards was never paused.

Change: an attempt that begins to stream to a client that is slow already pauses at once; resume_writing resumes it as before.

--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -284,6 +284,8 @@
         self.pending.release()
         for data in chunks:
             self.pending.write(data)
+        if self.pending.write_blocked():
+            self.pause()  # the client may have been slow before this response began
 
     def _stream_timed_out(self) -> None:
         """Break off a streamed response past its deadline: it may never end. The client sees it broken."""
--- a/tests/test_reading_resumes.py
+++ b/tests/test_reading_resumes.py
@@ -183,3 +183,35 @@
             sock.close()
 
     uvloop.run(test())
+
+
+@async_test
+async def test_response_streamed_behind_unread_response_pauses_its_upstream() -> None:
+    """The pause came before the response began and was not repeated: all of the response was buffered."""
+    async with BalancerTestbed() as testbed:
+        size, written = 24_000_000, 0
+
+        async def pour(message: Message, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            if len(testbed.upstreams[0].received) == 1:
+                return writer.write(reply(b"u" * 60_000))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            while written < size and not writer.transport.is_closing():
+                writer.write(b"p" * 100_000)
+                written += 100_000
+                await writer.drain()
+
+        testbed.upstreams[0].script = pour
+        sock = await connect_slow_client(testbed)
+        (client,) = testbed.node.front.clients
+        sock.send(request() * 2)
+        await wait_until(lambda: client.write_blocked and testbed.node.pool.streamed_attempts)
+        for _ in range(50):  # time to buffer the response, were it not paused
+            assert client.transport.get_write_buffer_size() < 1_000_000
+            await asyncio.sleep(0.01)
+        assert written < size
+        await read_head(sock)
+        await read_exactly(sock, 60_000)
+        await read_head(sock)
+        sock.close()
+        await wait_until(lambda: not testbed.node.pool.streamed_attempts)
