Long responses go on past requests' deadlines, within limits of size, pace and number

Callers saw: an answer of 1 MiB that took four seconds to write was cut off 2.4 s after its request, while its upstream wrote on and its client read on. Clients that read slowly lost the end of a long answer in the same way.

Cause: HttpAttempt._stream starts a timer for 0.4 s after the deadline, and _stream_timed_out ended the attempt whether or not bytes came. It was made against answers that never end. Of an answer over 64 KiB only the first bytes are timed.

The test of too many fails without _limit_overdue_streams.

Change: past that moment an answer is broken off if it may not be long (64 KiB or less: as before), is too long (over 32 MiB), too slow (10 s, and a second for each 32 KiB received), has stopped (4 s, as before), or if too many are overdue (half of the upstream connections, or half of the buffers' memory at 272 KiB each): the longest overdue goes. The size is a bound on what never ends, the pace on what trickles, the number on descriptors and memory.

Test replaced: test_endless_response_is_broken_off_after_deadline asked that 1 MB/s of no stated length end 0.4 s past the deadline.

--- a/quartzford/backends/connection_pool.py
+++ b/quartzford/backends/connection_pool.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+from quartzford.backends.overdue_streams import max_overdue_streams
 from quartzford.backends.response_reader import STATUS_OK
 from quartzford.backends.upstream_connection import Connection
 from quartzford.decision import interface as io
@@ -24,8 +25,14 @@
 class StreamedAttempt(Protocol):
     """An attempt whose response is forwarded while it arrives."""
 
-    def end_if_stalled(self, now: float) -> None:
-        """Fail the attempt if its upstream was silent for too long; now: seconds on the engine's clock."""
+    def check_stream(self, now: float) -> None:
+        """Fail the attempt if it has stalled or is overdue; now: seconds on the engine's clock."""
+
+    def overtime_s(self, now: float) -> float:
+        """Return for how many seconds it has been overdue; below 0 if it is not."""
+
+    def break_off(self) -> None:
+        """End the response; its client sees that it is incomplete."""
 
 
 class ConnectionPool:
@@ -112,7 +119,7 @@
         self.upstreams[entry.server] = Upstream(self, entry.server, address, entry.started_ms)
 
     def sweep(self) -> None:
-        """Close connections idle for too long, remove retired upstreams, fail stalled streamed attempts."""
+        """Close connections idle for too long, remove retired upstreams, check streamed attempts."""
         now = self.now()
         before = now - IDLE_TIMEOUT_SHARE * self.idle_ms / 1000.0
         for upstream in list(self.upstreams_with_idle):
@@ -122,7 +129,18 @@
         for upstream in list(self.retired):
             self._remove_retired(upstream)
         for attempt in list(self.streamed_attempts):
-            attempt.end_if_stalled(now)
+            attempt.check_stream(now)
+        self._limit_overdue_streams(now)
+
+    def _limit_overdue_streams(self, now: float) -> None:
+        """Break off the streamed responses that are overdue for the longest, if there are too many."""
+        overdue = [attempt for attempt in self.streamed_attempts if attempt.overtime_s(now) > 0.0]
+        excess = len(overdue) - max_overdue_streams(self.budget.limit, self.max_connections)
+        if excess <= 0:
+            return
+        overdue.sort(key=lambda attempt: attempt.overtime_s(now), reverse=True)
+        for attempt in overdue[:excess]:
+            attempt.break_off()
 
     def _remove_retired(self, upstream: Upstream) -> None:
         """Remove a retired upstream if another incarnation replaced it or the module forgot its name."""
--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -3,23 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from typing import NamedTuple, Protocol, cast
 
 from quartzford import engine
 from quartzford.backends import outcomes
 from quartzford.backends.connection_pool import ConnectionPool, Upstream
+from quartzford.backends.overdue_streams import (
+    LONG_RESPONSE_BYTES,
+    MAX_RESPONSE_BYTES,
+    OVERTIME_S,
+    StreamProgress,
+    may_continue,
+)
 from quartzford.backends.response_reader import STATUS_OK, ResponseReader
 from quartzford.backends.upstream_connection import HOLD_UP_THRESHOLD_S, MAX_JOINED_BYTES, Connection
 from quartzford.engine import Handle
 from quartzford.protocols.socketerrors import is_local_to_connect
 
 TIMER_RESOLUTION_S = 0.001  # resolution of the event loop's timers
-MAX_BUFFERED_BYTES = 64 * 1024  # longer responses are streamed; a buffered one that breaks off can be retried
+MAX_BUFFERED_BYTES = LONG_RESPONSE_BYTES  # a buffered response that breaks off can be retried
 SEND_ALLOWANCE_S = 0.05  # from a request's first byte to its last; if it takes longer, the attempt ends
 LONG_SEND_ALLOWANCE_SHARE = 0.5  # share of the time left, used instead for a body over MAX_JOINED_BYTES
 MAX_BODY_PAUSE_S = 0.15  # between two pieces of the body, while the request can still be retried
-STREAM_OVERTIME_S = 0.4  # after the request's deadline, for the last bytes of a streamed response
 STREAM_STALL_S = 4.0  # long responses pause for a tenth of a second; if one pauses this long, it is broken
 
 
@@ -67,6 +74,7 @@
 
     response_deadline: until when a response that has begun by `timeout_at` is waited for. last_progress: when
     bytes of the response last arrived, or the client last read on. Both are seconds on the engine's clock.
+    body_bytes: received of the response's body.
     """
 
     __slots__ = (
@@ -232,11 +240,11 @@
 
     def body_received(self, data: bytes) -> None:
         """Forward a piece of the body, or buffer it until the response is complete."""
+        self.body_bytes += len(data)
         if self.streaming:
             self.pending.write(data)
             return
         self.chunks.append(data)
-        self.body_bytes += len(data)
         self.pending.charge(len(data))
 
     def response_progressed(self) -> None:
@@ -246,7 +254,9 @@
         if self.connection is None:
             return self._fail_on_long_body()
         response = self._response()
-        if self.streaming or response.status != STATUS_OK:
+        if self.streaming:
+            return self._check_size()
+        if response.status != STATUS_OK:
             return self._fail_on_long_body()
         is_long = self.body_bytes > MAX_BUFFERED_BYTES or (response.content_length or 0) > MAX_BUFFERED_BYTES
         if self.pending.streams_response or is_long or self.pool.budget.is_exhausted():
@@ -270,13 +280,18 @@
         if self.body_bytes > MAX_BUFFERED_BYTES and not self.streaming:
             self.fail(outcomes.ERROR)
 
+    def _check_size(self) -> None:
+        """Break off an overdue response at once if it is longer than a response can be."""
+        if self.body_bytes > MAX_RESPONSE_BYTES:
+            self.check_stream(self.last_progress)
+
     def _stream(self, response: ResponseReader) -> None:
         self._stop_timer()
         self.pool.streamed_attempts.add(self)
         self.pool.engine.response_started(self)
         # Only for streaming classes, a response that has begun has no deadline.
         if not self.pending.streams_response:
-            time_left_s = self.pending.deadline + STREAM_OVERTIME_S - self.pool.now()
+            time_left_s = self.pending.deadline + OVERTIME_S - self.pool.now()
             self.timer = self.pool.clock.call_later(time_left_s, self._stream_timed_out)
         self.pending.begin(response.fields, response.content_length)
         chunks = self.chunks
@@ -288,14 +303,40 @@
             self.pause()  # the client may have been slow before this response began
 
     def _stream_timed_out(self) -> None:
-        """Break off a streamed response past its deadline: it may never end. The client sees it broken."""
+        """Break off a streamed response past its deadline, unless it is a long one, which may go on."""
         self.timer = None
-        self.fail(outcomes.CANCELLED if self.pending.write_blocked() else outcomes.TIMED_OUT)
+        if not self._may_continue(self.pool.now()):
+            self.break_off()
+
+    def _may_continue(self, now: float) -> bool:
+        overdue_s = now - self.pending.deadline
+        return may_continue(StreamProgress(self._response().content_length, self.body_bytes, overdue_s))
 
-    def end_if_stalled(self, now: float) -> None:
-        """Fail a streamed attempt whose upstream has been silent for too long, unless the client is slow."""
+    def overtime_s(self, now: float) -> float:
+        """Return for how many seconds a streamed response has gone on after its deadline and OVERTIME_S.
+
+        Below 0 before that moment, and for a streaming class, whose responses have no deadline. now: seconds
+        on the engine's clock.
+        """
+        if self.pending.streams_response:
+            return -math.inf
+        return now - self.pending.deadline - OVERTIME_S
+
+    def check_stream(self, now: float) -> None:
+        """Fail a streamed attempt that has stalled, or that is overdue and may not go on.
+
+        It has stalled if its upstream has been silent for too long and the client is not slow.
+        """
+        if self.ended:
+            return
         if now - self.last_progress > STREAM_STALL_S and not self.pending.write_blocked():
             self.fail(outcomes.RESET)
+        elif self.overtime_s(now) > 0.0 and not self._may_continue(now):
+            self.break_off()
+
+    def break_off(self) -> None:
+        """End a streamed response that may never end; its client sees that it is incomplete."""
+        self.fail(outcomes.CANCELLED if self.pending.write_blocked() else outcomes.TIMED_OUT)
 
     def pause(self) -> None:
         """Stop reading a streamed response, as its client reads more slowly."""
