Long responses of no stated length are streamed at a pause, not given up

Callers saw: an answer in chunks or up to the close whose upstream paused for 0.15 s within its first 64 KiB was given up and its request sent again, though the upstream wrote on. With a length the same answer was passed on.

Cause: an answer is streamed once it is known to be over 64 KiB. Until then _timed_out takes a pause of MAX_BODY_PAUSE_S for the end, however much has come; 64 KiB in one piece are not yet over the limit.

Change: an answer of no stated length that pauses after 16 KiB or more is streamed; a shorter one is retried as before.

--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -26,6 +26,7 @@
 MAX_BUFFERED_BYTES = LONG_RESPONSE_BYTES  # a buffered response that breaks off can be retried
 SEND_ALLOWANCE_S = 0.05  # from a request's first byte to its last; if it takes longer, the attempt ends
 LONG_SEND_ALLOWANCE_SHARE = 0.5  # share of the time left, used instead for a body over MAX_JOINED_BYTES
+PROBABLY_LONG_BYTES = 16 * 1024  # a response of no stated length that pauses after as much is streamed
 MAX_BODY_PAUSE_S = 0.15  # between two pieces of the body, while the request can still be retried
 STREAM_STALL_S = 4.0  # long responses pause for a tenth of a second; if one pauses this long, it is broken
 
@@ -226,10 +227,14 @@
             return self.fail(outcomes.CONNECT_FAILED)
         response = self._response()
         unsized = response.status == STATUS_OK and response.content_length is None
-        if unsized and self.body_bytes and self.pool.now() - self.last_progress < MAX_BODY_PAUSE_S:
+        if unsized and (self.body_bytes >= PROBABLY_LONG_BYTES or self._body_arrives()):
             return self._stream(response)
         self.fail(outcomes.TIMED_OUT)
 
+    def _body_arrives(self) -> bool:
+        """Return whether a part of the body has arrived, and the last one not long ago."""
+        return bool(self.body_bytes) and self.pool.now() - self.last_progress < MAX_BODY_PAUSE_S
+
     # ---- the response
 
     def _response(self) -> ResponseReader:
--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -124,6 +124,31 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("first_bytes", [20_000, LONG_RESPONSE_BYTES])
+def test_long_response_that_pauses_early_is_forwarded_from_its_first_attempt(
+    framing: str, first_bytes: int
+) -> None:
+    """One of no stated length was given up, and retried, when it paused within its first 64 KiB."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+
+            async def respond(message: Message, writer: asyncio.StreamWriter) -> None:
+                writer.write(head(framing, first_bytes + REST_BYTES) + piece(framing, first_bytes))
+                await wait_until(lambda: testbed.node.pool.streamed_attempts or testbed.outcomes())
+                writer.write(piece(framing, REST_BYTES))
+                finish(framing, writer)
+
+            testbed.upstreams[0].script = respond
+            testbed.node.engine.balancer.latency.typical_latencies["read"] = 20.0  # a retry is possible
+            answer = await testbed.submit(request())
+            assert answer.body == b"r" * (first_bytes + REST_BYTES)
+            assert testbed.outcomes() == ["ok"] and len(testbed.upstreams[0].received) == 1
+
+    uvloop.run(test())
+
+
 # ---- the end of what never ends
 
 
