Client connection, HTTP attempt: pipeline and interfaces as modules of their own

Pipeline (fronts/pipeline.py) owns the waiting requests and whether they are too many, and Client has one place that resumes reading. HttpCall and CompleteResponse move to backends/http_call.py as they were.

--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -5,11 +5,12 @@
 import asyncio
 import math
 import socket
-from typing import NamedTuple, Protocol, cast
+from typing import cast
 
 from quartzford import engine
 from quartzford.backends import outcomes
 from quartzford.backends.connection_pool import ConnectionPool, Upstream
+from quartzford.backends.http_call import CompleteResponse, HttpCall
 from quartzford.backends.overdue_streams import (
     LONG_RESPONSE_BYTES,
     MAX_RESPONSE_BYTES,
@@ -31,45 +32,6 @@
 STREAM_STALL_S = 4.0  # long responses pause for a tenth of a second; if one pauses this long, it is broken
 
 
-class CompleteResponse(NamedTuple):
-    """A complete 200 response. fields: header lines to forward. chunks: the pieces of the body."""
-
-    fields: list[bytes]
-    chunks: list[bytes]
-
-
-class HttpCall(Protocol):
-    """What an attempt needs of its request.
-
-    deadline: seconds on the engine's clock. streams_response: the response is forwarded while it arrives.
-    """
-
-    deadline: float
-    body: bytes | bytearray
-    streams_response: bool
-
-    def upstream_head(self, time_left_s: float) -> bytes:
-        """Return the request's head; it tells the upstream that `time_left_s` seconds are left."""
-
-    def charge(self, size: int) -> None:
-        """Count `size` more buffered bytes for this request; fewer, if below 0."""
-
-    def release(self) -> None:
-        """Count no buffered bytes for this request any more."""
-
-    def begin(self, fields: list[bytes], length: int | None) -> None:
-        """Write the head of a streamed response; length: of its body in bytes, None if not stated."""
-
-    def write(self, data: bytes) -> None:
-        """Write a piece of a streamed response's body."""
-
-    def write_blocked(self) -> bool:
-        """Return whether the client reads its response more slowly than it arrives."""
-
-    def client_connected(self) -> bool:
-        """Return whether the system reports the client as connected at this moment."""
-
-
 class HttpAttempt(engine.Attempt):
     """One attempt: connects if necessary, writes the request, reads the response, ends with one outcome.
 
--- a/quartzford/fronts/client_connection.py
+++ b/quartzford/fronts/client_connection.py
@@ -6,32 +6,24 @@
 import select
 import socket
 import struct
-from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple, cast
+from typing import cast
 
 from quartzford.decision import interface as io
 from quartzford.fronts import responses
 from quartzford.fronts.client_owner import ClientOwner
 from quartzford.fronts.exchange import Exchange, PausableAttempt
+from quartzford.fronts.pipeline import Pipeline
 from quartzford.fronts.request_intake import new_exchange, new_request
 from quartzford.fronts.request_reader import SERVICE_CLASS, RequestReader
 from quartzford.fronts.response_writer import begin_streamed_response, complete_response, encode_body_part
 from quartzford.protocols.lingering import LingeringClose
 
-MAX_PIPELINED_REQUESTS = 16
 WRITE_HIGH_WATER_BYTES = 16 * 1024
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER, enabled with 0 s: close() sends a reset
 
 
-class PipelinedRequest(NamedTuple):
-    """A complete request that waits for the response to an earlier one. request: None for a health check."""
-
-    exchange: Exchange
-    request: io.Request | None
-
-
 class Client(asyncio.Protocol):
     """One client connection.
 
@@ -59,7 +51,6 @@
         "closing",
         "lingering",
         "paused_at",
-        "pipeline_full",
     )
     transport: asyncio.Transport
 
@@ -67,7 +58,7 @@
         self.front = front
         self.reader = RequestReader(self)
         self.exchange: Exchange | None = None
-        self.pipelined_requests: deque[PipelinedRequest] = deque()
+        self.pipelined_requests = Pipeline()
         self.message_started = front.now()
         self.last_progress = self.message_started
         self.write_blocked = False  # the client reads more slowly than its response arrives
@@ -76,7 +67,6 @@
         self.closing = False
         self.lingering: LingeringClose | None = None
         self.paused_at = 0.0
-        self.pipeline_full = False  # reading is paused until all pipelined requests are served
 
     # ---- state
 
@@ -172,7 +162,7 @@
         self._release_unflushed()
 
     def _disconnected(self) -> None:
-        self._release_pipelined()
+        self.pipelined_requests.release()
         self._drop_body()
         exchange = self.exchange
         self.exchange = None
@@ -224,7 +214,11 @@
         if not self.paused_at:
             return
         self.paused_at = 0.0
-        if not self.pipeline_full:
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Resume reading unless it is paused for another cause."""
+        if not self.paused_at and not self.pipelined_requests.full:
             self.front.resume_reading(self)
 
     def body_too_large(self) -> None:
@@ -242,9 +236,8 @@
         if not self.reader.is_health_check:
             request = new_request(self.reader, exchange, front.engine, front.now())
         if self.exchange is not None or self.pipelined_requests:
-            self.pipelined_requests.append(PipelinedRequest(exchange, request))
-            if len(self.pipelined_requests) >= MAX_PIPELINED_REQUESTS:
-                self.pipeline_full = True
+            self.pipelined_requests.add(exchange, request)
+            if self.pipelined_requests.full:
                 self.front.pause_reading(self)
         else:
             self._serve(exchange, request)
@@ -259,22 +252,13 @@
 
     def _serve_next(self) -> None:
         """Serve the next pipelined request, with the time that is left until its deadline."""
-        exchange, request = self.pipelined_requests.popleft()
-        if not self.pipelined_requests and self.pipeline_full:
-            self.pipeline_full = False
-            if not self.paused_at:
-                self.front.resume_reading(self)
+        exchange, request = self.pipelined_requests.take()
+        self._resume_reading()
         if request is not None:
             left_s = max(0.0, exchange.deadline - self.last_progress)
             request = request._replace(budget_ms=left_s * 1000.0)
         self._serve(exchange, request)
 
-    def _release_pipelined(self) -> None:
-        """Release the buffered bytes of pipelined requests that will not be served."""
-        for pipelined in self.pipelined_requests:
-            pipelined.exchange.release()
-        self.pipelined_requests.clear()
-
     # ---- responses
 
     def answer(
@@ -352,7 +336,7 @@
         else:
             exchange.release()
         if not exchange.keep_alive:
-            self._release_pipelined()
+            self.pipelined_requests.release()
             self._begin_lingering_close()
         elif self.pipelined_requests:
             self._serve_next()
--- /dev/null
+++ b/quartzford/fronts/pipeline.py
@@ -0,0 +1,51 @@
+"""Complete requests of one client connection that wait for the response to an earlier one; does no I/O."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+from quartzford.decision import interface as io
+from quartzford.fronts.exchange import Exchange
+
+MAX_PIPELINED_REQUESTS = 16
+
+
+class PipelinedRequest(NamedTuple):
+    """A complete request that waits for the response to an earlier one. request: None for a health check."""
+
+    exchange: Exchange
+    request: io.Request | None
+
+
+class Pipeline(deque[PipelinedRequest]):
+    """The waiting requests, in the order in which they are answered.
+
+    full: there were MAX_PIPELINED_REQUESTS, and some are left; no more are read until all are served.
+    """
+
+    __slots__ = ("full",)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.full = False
+
+    def add(self, exchange: Exchange, request: io.Request | None) -> None:
+        """Add a request that has been read."""
+        self.append(PipelinedRequest(exchange, request))
+        if len(self) >= MAX_PIPELINED_REQUESTS:
+            self.full = True
+
+    def take(self) -> PipelinedRequest:
+        """Remove and return the request that is served next."""
+        taken = self.popleft()
+        if not self:
+            self.full = False
+        return taken
+
+    def release(self) -> None:
+        """Remove all requests, which will not be served, and release their buffered bytes."""
+        for pipelined in self:
+            pipelined.exchange.release()
+        self.clear()
+        self.full = False
--- a/tests/test_reading_resumes.py
+++ b/tests/test_reading_resumes.py
@@ -11,7 +11,7 @@
 from test_endings import connect_raw, respond_after
 
 from quartzford.backends.connection_pool import MIN_IDLE_S
-from quartzford.fronts.client_connection import MAX_PIPELINED_REQUESTS
+from quartzford.fronts.pipeline import MAX_PIPELINED_REQUESTS
 
 LIMIT_BYTES = 1_000_000
 SMALL_BUFFER_BYTES = 4096
@@ -68,7 +68,7 @@
             (client,) = front.clients
             budget.limit = 0
             writer.write(request() * MAX_PIPELINED_REQUESTS + request("pay", b"b" * 5000)[:end])
-            await wait_until(lambda: client.paused_at and client.pipeline_full)
+            await wait_until(lambda: client.paused_at and client.pipelined_requests.full)
             budget.limit = LIMIT_BYTES
             await wait_until(lambda: not client.paused_at)  # memory is free, the pipeline is still full
             assert client in front.paused_clients
