Overdue responses: bounded by what they hold of exhausted memory, which is now counted

Need: the bound on overdue responses by memory counted 272 KiB for each, also where the client reads at once and nothing is held, so that a long answer could be cut off though there was memory. What a slow client has not read was in no count.

Change: Client charges it to the budget while the client is slow. While the budget is exhausted, all overdue responses may hold an eighth of it; over that the ones overdue for longest are broken off. Half of the upstream connections stays the bound on their number.

Evidence: test_overdue_response_to_slow_client_is_broken_off_where_memory_is_exhausted, both ways; the count is 0 again after it.

--- a/quartzford/backends/connection_pool.py
+++ b/quartzford/backends/connection_pool.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from quartzford.backends.overdue_streams import max_overdue_streams
+from quartzford.backends.overdue_streams import OverdueStream, excess_streams
 from quartzford.backends.response_reader import STATUS_OK
 from quartzford.backends.upstream_connection import Connection
 from quartzford.decision import interface as io
@@ -31,6 +31,9 @@
     def overtime_s(self, now: float) -> float:
         """Return for how many seconds it has been overdue; below 0 if it is not."""
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of the response wait in this process for a slow client."""
+
     def break_off(self) -> None:
         """End the response; its client sees that it is incomplete."""
 
@@ -133,14 +136,12 @@
         self._limit_overdue_streams(now)
 
     def _limit_overdue_streams(self, now: float) -> None:
-        """Break off the streamed responses that are overdue for the longest, if there are too many."""
+        """Break off streamed responses that are overdue, if they hold too many connections or bytes."""
         overdue = [attempt for attempt in self.streamed_attempts if attempt.overtime_s(now) > 0.0]
-        excess = len(overdue) - max_overdue_streams(self.budget.limit, self.max_connections)
-        if excess <= 0:
-            return
-        overdue.sort(key=lambda attempt: attempt.overtime_s(now), reverse=True)
-        for attempt in overdue[:excess]:
-            attempt.break_off()
+        streams = [OverdueStream(attempt.overtime_s(now), attempt.held_bytes()) for attempt in overdue]
+        exhausted = self.budget.is_exhausted()
+        for index in excess_streams(streams, self.max_connections, self.budget.limit, exhausted):
+            overdue[index].break_off()
 
     def _remove_retired(self, upstream: Upstream) -> None:
         """Remove a retired upstream if another incarnation replaced it or the module forgot its name."""
--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -301,6 +301,10 @@
         elif self.overtime_s(now) > 0.0 and not self._may_continue(now):
             self.break_off()
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of a streamed response wait in this process for a slow client."""
+        return self.pending.held_bytes()
+
     def break_off(self) -> None:
         """End a streamed response that may never end; its client sees that it is incomplete."""
         self.fail(outcomes.CANCELLED if self.pending.write_blocked() else outcomes.TIMED_OUT)
--- a/quartzford/backends/http_call.py
+++ b/quartzford/backends/http_call.py
@@ -40,5 +40,8 @@
     def write_blocked(self) -> bool:
         """Return whether the client reads its response more slowly than it arrives."""
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of a streamed response wait in this process for a slow client."""
+
     def client_connected(self) -> bool:
         """Return whether the system reports the client as connected at this moment."""
--- a/quartzford/backends/overdue_streams.py
+++ b/quartzford/backends/overdue_streams.py
@@ -2,7 +2,7 @@
 
 Of a long response only the first bytes have to come before the deadline. It may go on as long as it is not
 longer than a response can be and keeps a minimum pace, so that one that never ends is broken off. All that go
-on together are limited by the memory and the connections that they hold.
+on together are limited by the connections that they hold and, where memory is short, by what they hold of it.
 """
 
 from __future__ import annotations
@@ -14,8 +14,8 @@
 OVERTIME_S = 0.4  # after the deadline, for the last bytes of a short response
 PACE_GRACE_S = 10.0  # for pauses, beyond the time that the minimum pace allows
 MIN_PACE_BYTES_PER_S = 32 * 1024
-STREAM_BUFFER_BYTES = 272 * 1024  # held by a response whose client is slow: one read, and the write buffer
-MAX_OVERDUE_SHARE = 0.5  # of the memory for buffers, and of the upstream connections
+MAX_CONNECTION_SHARE = 0.5  # of the upstream connections, for all overdue responses
+MAX_MEMORY_SHARE = 0.125  # of the memory for buffers, for all overdue responses, while it is exhausted
 
 
 class StreamProgress(NamedTuple):
@@ -38,10 +38,32 @@
     return progress.overdue_s <= PACE_GRACE_S + progress.received_bytes / MIN_PACE_BYTES_PER_S
 
 
-def max_overdue_streams(buffered_bytes: int, upstream_connections: int) -> int:
-    """Return how many overdue responses may go on at the same time.
+class OverdueStream(NamedTuple):
+    """A response that goes on after its deadline.
 
-    buffered_bytes: limit on the buffered bytes of the process. upstream_connections: limit on their number.
+    overtime_s: for how many seconds. held_bytes: of it, in buffers of this process, as its client is slow.
     """
-    by_memory = int(MAX_OVERDUE_SHARE * buffered_bytes / STREAM_BUFFER_BYTES)
-    return min(by_memory, int(MAX_OVERDUE_SHARE * upstream_connections))
+
+    overtime_s: float
+    held_bytes: int
+
+
+def excess_streams(
+    streams: list[OverdueStream], connection_limit: int, memory_limit: int, memory_exhausted: bool
+) -> list[int]:
+    """Return the indices of the overdue responses to break off, those first that are overdue for longest.
+
+    connection_limit: on upstream connections. memory_limit: on all buffered bytes of the process.
+    memory_exhausted: whether that is reached.
+    """
+    oldest_first = sorted(range(len(streams)), key=lambda index: streams[index].overtime_s, reverse=True)
+    excess_count = max(0, len(streams) - int(MAX_CONNECTION_SHARE * connection_limit))
+    excess, others = oldest_first[:excess_count], oldest_first[excess_count:]
+    if not memory_exhausted:
+        return excess
+    excess_bytes = sum(streams[index].held_bytes for index in others) - MAX_MEMORY_SHARE * memory_limit
+    for index in others:
+        if excess_bytes > 0 and streams[index].held_bytes:
+            excess.append(index)
+            excess_bytes -= streams[index].held_bytes
+    return excess
--- a/quartzford/fronts/client_connection.py
+++ b/quartzford/fronts/client_connection.py
@@ -29,7 +29,8 @@
 
     exchange: the request that is being served. pipelined_requests: complete requests that wait for its
     response. unflushed_exchange: the last exchange, while the kernel has not yet accepted all of its written
-    response. closing: received bytes are discarded.
+    response. closing: received bytes are discarded. held_bytes: of streamed responses, in the write buffer
+    while the client reads more slowly than they arrive; charged to the budget.
 
     Times in seconds on the engine's clock: message_started, when the first byte of the last request was
     received; last_progress, when a byte was last read or written; paused_at, since when reading has been
@@ -48,6 +49,7 @@
         "write_blocked",
         "unsent_bytes",
         "unflushed_exchange",
+        "held_bytes",
         "closing",
         "lingering",
         "paused_at",
@@ -63,6 +65,7 @@
         self.last_progress = self.message_started
         self.write_blocked = False  # the client reads more slowly than its response arrives
         self.unsent_bytes = 0
+        self.held_bytes = 0
         self.unflushed_exchange: Exchange | None = None
         self.closing = False
         self.lingering: LingeringClose | None = None
@@ -159,6 +162,7 @@
         self.reader.release()
         self.closing = True
         self.write_blocked = False
+        self._charge_held(0)
         self._release_unflushed()
 
     def _disconnected(self) -> None:
@@ -180,11 +184,16 @@
     def resume_writing(self) -> None:
         """Resume reading from the upstream: the client has read enough of the response."""
         self.write_blocked = False
+        self._charge_held(0)
         self._release_unflushed()
         attempt = self._streaming_attempt()
         if attempt is not None:
             attempt.resume()
 
+    def _charge_held(self, size: int) -> None:
+        self.front.budget.used += size - self.held_bytes
+        self.held_bytes = size
+
     def _streaming_attempt(self) -> PausableAttempt | None:
         return self.exchange.streaming_attempt() if self.exchange is not None else None
 
@@ -294,6 +303,8 @@
             return
         self.last_progress = self.front.now()
         self.transport.write(encode_body_part(exchange, data))
+        if self.write_blocked:
+            self._charge_held(self.transport.get_write_buffer_size())
 
     def end(self, exchange: Exchange, complete: bool) -> None:
         """End a streamed response; if it is incomplete, close so that the client can detect that."""
--- a/quartzford/fronts/exchange.py
+++ b/quartzford/fronts/exchange.py
@@ -19,6 +19,7 @@
     """The client connection that the response of an exchange is written to."""
 
     write_blocked: bool  # the client reads more slowly than its response arrives
+    held_bytes: int  # of a streamed response, in the write buffer while the client reads more slowly
 
     def answer(
         self,
@@ -161,6 +162,10 @@
         """Return whether the client reads its response more slowly than it arrives."""
         return self.client.write_blocked
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of a streamed response wait in the write buffer for a slow client."""
+        return self.client.held_bytes
+
     def client_connected(self) -> bool:
         """Return whether the client is connected, by the state of its socket at the time of the call."""
         return self.client.connected()
--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -18,9 +18,9 @@
     MIN_PACE_BYTES_PER_S,
     OVERTIME_S,
     PACE_GRACE_S,
-    STREAM_BUFFER_BYTES,
+    OverdueStream,
     StreamProgress,
-    max_overdue_streams,
+    excess_streams,
     may_continue,
 )
 from quartzford.housekeeping import SWEEP_INTERVAL_S
@@ -317,6 +317,46 @@
     assert may_continue(StreamProgress(stated, received, overdue_s)) is expected
 
 
-def test_overdue_responses_hold_half_of_memory_and_connections_at_most() -> None:
-    assert max_overdue_streams(100 * STREAM_BUFFER_BYTES, 1000) == 50
-    assert max_overdue_streams(1000 * STREAM_BUFFER_BYTES, 30) == 15
+def test_longest_overdue_responses_over_half_of_connections_are_excess() -> None:
+    streams = [OverdueStream(overtime_s, 0) for overtime_s in (3.0, 1.0, 4.0, 2.0)]
+    assert excess_streams(streams, 8, 800, False) == []
+    assert excess_streams(streams, 5, 800, True) == [2, 0]
+
+
+def test_longest_overdue_responses_over_an_eighth_of_exhausted_memory_are_excess() -> None:
+    streams = [OverdueStream(4.0, 0), OverdueStream(1.0, 70), OverdueStream(3.0, 50), OverdueStream(2.0, 40)]
+    assert excess_streams(streams, 100, 800, False) == []
+    assert excess_streams(streams, 100, 800, True) == [2, 3]
+    assert excess_streams(streams, 100, 8 * 160, True) == []
+
+
+@pytest.mark.parametrize("exhausted", [False, True])
+def test_overdue_response_to_slow_client_is_broken_off_where_memory_is_exhausted(exhausted: bool) -> None:
+    """What slow clients had not read was not counted, and without their deadline it would stay for long."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            size, budget = 12_000_000, testbed.node.budget
+
+            async def respond(message: Message, writer: asyncio.StreamWriter) -> None:
+                writer.write(head("length", size) + piece("length", size))
+
+            testbed.upstreams[0].script = respond
+            reader, writer = await asyncio.open_connection("127.0.0.1", testbed.port, limit=1000)
+            testbed.clients.append(writer)
+            writer.write(long_request())
+            attempt = await wait_until_overdue(testbed)
+            assert budget.used == attempt.held_bytes() > 0
+            if exhausted:
+                budget.limit = 1
+                await wait_until(lambda: attempt.ended)
+                assert testbed.outcomes() == ["cancelled"]
+            await reader.readuntil(b"\r\n\r\n")
+            if exhausted:
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                    await reader.readexactly(size)
+            else:
+                assert len(await reader.readexactly(size)) == size
+            await wait_until(lambda: budget.used == 0)
+
+    uvloop.run(test())
