Long request bodies that keep a pace are read to their end, not rejected after 5 s

Callers: a request whose body took over 5 s to send was answered 408 and its connection closed, at whatever pace the body came. A client may send at 64 kB a second and bodies may have 32 MB; over 320 kB such a request was lost.

Cause: the limit on clients that send a byte now and then, 5 s for a complete request, did not ask how much had come.

Change: beyond the 5 s a body has a second for each 32 KiB that have come. Bounds: that pace, 2 s of silence and 32 MiB as before; where memory is exhausted, a request over 5 s is answered 503 first; where descriptors are, a partly received one makes room as before. All have tests, with real sockets and the age set instead of waited for.

--- a/quartzford/fronts/client_timeouts.py
+++ b/quartzford/fronts/client_timeouts.py
@@ -9,7 +9,8 @@
 IDLE_TIMEOUT_S = 2.25  # then an idle client, even one that has never sent, is closed to free its descriptor
 HEAD_TIMEOUT_S = 2.0  # for a complete head; a client that stops within a request gets its error within 3 s
 BODY_STALL_S = 2.0  # between received bytes of a body
-REQUEST_TIMEOUT_S = 5.0  # for a complete request, even if its bytes keep arriving slowly
+REQUEST_TIMEOUT_S = 5.0  # for a complete request, beyond the time that the minimum pace allows its body
+MIN_BODY_PACE_BYTES_PER_S = 32 * 1024  # half of the pace that a client may have
 WRITE_STALL_S = 20.0  # while a client reads no byte of its response
 MAX_BODY_PAUSE_S = 1.0  # while reading a body is paused for lack of memory
 
@@ -26,7 +27,7 @@
     elif client.closing:
         return
     elif client.exchange is None and client.in_message:
-        _check_request(client, now)
+        _check_request(client, budget, now)
     elif now - client.last_progress > IDLE_TIMEOUT_S:
         client.close_if_idle()
 
@@ -39,12 +40,25 @@
         client.transport.abort()
 
 
-def _check_request(client: Client, now: float) -> None:
-    if client.reader.in_head:
-        stalled = now - client.message_started > HEAD_TIMEOUT_S
-    else:
-        stalled = now - client.last_progress > BODY_STALL_S
-    if stalled or now - client.message_started > REQUEST_TIMEOUT_S:
+def _check_request(client: Client, budget: BufferBudget, now: float) -> None:
+    if _is_too_slow(client, now):
         client.reject(REQUEST_TIMEOUT)
-    elif client.paused_at and now - client.paused_at > MAX_BODY_PAUSE_S:
+    elif _waits_too_long_for_memory(client, budget, now):
         client.reject(UNAVAILABLE)
+
+
+def _is_too_slow(client: Client, now: float) -> bool:
+    """Return whether a partly received request has stopped, or arrives below the minimum pace."""
+    age_s = now - client.message_started
+    if client.reader.in_head:
+        return age_s > HEAD_TIMEOUT_S
+    if now - client.last_progress > BODY_STALL_S:
+        return True
+    return age_s > REQUEST_TIMEOUT_S + client.reader.body_bytes / MIN_BODY_PACE_BYTES_PER_S
+
+
+def _waits_too_long_for_memory(client: Client, budget: BufferBudget, now: float) -> bool:
+    """Return whether a partly received request has to release its memory, because there is no more of it."""
+    if budget.is_exhausted() and now - client.message_started > REQUEST_TIMEOUT_S:
+        return True
+    return client.paused_at > 0 and now - client.paused_at > MAX_BODY_PAUSE_S
--- /dev/null
+++ b/tests/test_slow_uploads.py
@@ -0,0 +1,127 @@
+"""Requests whose bodies arrive slowly are read on, within limits of pace, silence, memory and descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pytest
+import uvloop
+from peers import BalancerTestbed, async_test, read_message, request, wait_until
+
+from quartzford.fronts.client_connection import Client
+from quartzford.fronts.client_timeouts import (
+    BODY_STALL_S,
+    MIN_BODY_PACE_BYTES_PER_S,
+    REQUEST_TIMEOUT_S,
+)
+
+PART_BYTES = 256 * 1024  # the part of a body that has been sent
+MAX_PART_S = REQUEST_TIMEOUT_S + PART_BYTES / MIN_BODY_PACE_BYTES_PER_S
+MARGIN_S = 3.0  # for a busy machine
+
+
+class Upload(NamedTuple):
+    """A client that has sent the first of two equal parts of its request's body."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    client: Client
+    second_part: bytes
+
+    def set_age(self, seconds: float) -> None:
+        """Set the time since the request's first byte."""
+        self.client.message_started = self.client.front.now() - seconds
+
+    async def status(self) -> int:
+        """Return the status of the next response."""
+        return (await asyncio.wait_for(read_message(self.reader), 3)).status
+
+
+async def begin_upload(testbed: BalancerTestbed, framing: str = "length") -> Upload:
+    """Send a POST up to the middle of its body, and wait until the balancer has read it."""
+    known = set(testbed.node.front.clients)
+    reader, writer = await testbed.connect()
+    part, rest = b"b" * PART_BYTES, b"b" * PART_BYTES
+    if framing == "length":
+        writer.write(request("pay", part + rest)[:-PART_BYTES])
+    else:
+        chunk = b"%x\r\n%b\r\n" % (PART_BYTES, part)
+        writer.write(request("pay", fields="Transfer-Encoding: chunked\r\n") + chunk)
+        rest = chunk + b"0\r\n\r\n"
+    await wait_until(lambda: set(testbed.node.front.clients) - known)
+    (client,) = set(testbed.node.front.clients) - known
+    await wait_until(lambda: client.reader.body_bytes == PART_BYTES)
+    return Upload(reader, writer, client, rest)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_body_that_keeps_the_pace_is_read_to_its_end(framing: str) -> None:
+    """A body of 1 MB at 64 kB/s was answered 408 after 5 s, whatever had come of it."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            upload = await begin_upload(testbed, framing)
+            upload.set_age(MAX_PART_S - MARGIN_S)
+            testbed.node.front.sweep()
+            upload.writer.write(upload.second_part)
+            assert await upload.status() == 200
+            (received,) = testbed.upstreams[0].received
+            assert len(received.body) == 2 * PART_BYTES and testbed.node.budget.used == 0
+
+    uvloop.run(test())
+
+
+def set_too_slow(upload: Upload) -> None:
+    """Let the body take longer than the minimum pace allows."""
+    upload.set_age(MAX_PART_S + 0.1)
+
+
+def set_silent(upload: Upload) -> None:
+    """Let the body have stopped, within the time that the minimum pace allows."""
+    upload.set_age(MAX_PART_S - MARGIN_S)
+    upload.client.last_progress -= BODY_STALL_S + 0.1
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("spoil", [set_too_slow, set_silent])
+def test_body_that_is_too_slow_or_stops_is_rejected(framing: str, spoil: Callable[[Upload], None]) -> None:
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            upload = await begin_upload(testbed, framing)
+            spoil(upload)
+            testbed.node.front.sweep()
+            assert await upload.status() == 408
+            assert testbed.node.budget.used == 0 and not testbed.upstreams[0].received
+
+    uvloop.run(test())
+
+
+@async_test
+async def test_long_lasting_body_gives_way_to_others_while_memory_is_exhausted() -> None:
+    """Otherwise a few slow clients would hold the memory, and the bodies of all others be rejected."""
+    async with BalancerTestbed() as testbed:
+        budget, front = testbed.node.budget, testbed.node.front
+        budget.limit = 2 * PART_BYTES
+        slow = await begin_upload(testbed)
+        slow.set_age(REQUEST_TIMEOUT_S + 0.1)
+        front.sweep()
+        assert not slow.client.closing  # there is memory
+        other = await begin_upload(testbed)
+        assert other.client.paused_at and budget.is_exhausted()
+        front.sweep()
+        assert await slow.status() == 503 and budget.used == PART_BYTES
+        budget.limit = 4 * PART_BYTES
+        other.writer.write(other.second_part)
+        assert await other.status() == 200
+
+
+@async_test
+async def test_long_lasting_body_gives_way_to_new_connection_without_descriptors() -> None:
+    async with BalancerTestbed() as testbed:
+        testbed.node.front.max_clients = 1
+        slow = await begin_upload(testbed)
+        slow.set_age(MAX_PART_S - MARGIN_S)
+        assert (await testbed.submit(request())).status == 200
+        assert await slow.status() == 503 and testbed.node.budget.used == 0
