Clients: the time limits of a request begin when those before it are answered

Cause: the limits counted from the first byte, through the time in which the connection was paused for a full pipeline or for memory while an earlier request was served. That may be long, since long responses go on past their deadlines.

Evidence: test_time_limits_of_request_begin_when_earlier_ones_are_answered, half a head and half a body, behind one request and behind a full pipeline: all four failed before. Found by reading; no run from outside showed it.

Change: message_started is not before the previous response. A request that stops after that ends as before (same test).

--- a/quartzford/fronts/client_connection.py
+++ b/quartzford/fronts/client_connection.py
@@ -33,9 +33,10 @@
     while the client reads more slowly than they arrive; charged to the budget.
 
     Times in seconds on the engine's clock: message_started, when the first byte of the last request was
-    received; last_progress, when a byte was last read or written; paused_at, since when reading has been
-    paused for lack of memory, 0 if it is not paused for that. Such a pause ends once there is memory, and at
-    the latest when all requests that were read are answered.
+    received, or when the response before it was written if that was later; last_progress, when a byte was
+    last read or written; paused_at, since when reading has been paused for lack of memory, 0 if it is not
+    paused for that. Such a pause ends once there is memory, and at the latest when all requests that were
+    read are answered.
     """
 
     __slots__ = (
@@ -341,6 +342,7 @@
         """Continue after a response was written: with pipelined input, a close or a handover."""
         self.exchange = None
         self.last_progress = self.front.now()
+        self.message_started = self.last_progress
         self._release_unflushed()
         if self.write_blocked:
             self.unflushed_exchange = exchange
--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -8,7 +8,8 @@
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, read_message, request, wait_until
+from peers import BalancerTestbed, async_test, read_message, reply, request, wait_until
+from test_endings import respond_after
 
 from quartzford.fronts.client_connection import Client
 from quartzford.fronts.client_timeouts import (
@@ -16,6 +17,7 @@
     MIN_BODY_PACE_BYTES_PER_S,
     REQUEST_TIMEOUT_S,
 )
+from quartzford.fronts.pipeline import MAX_PIPELINED_REQUESTS
 
 PART_BYTES = 256 * 1024  # the part of a body that has been sent
 MAX_PART_S = REQUEST_TIMEOUT_S + PART_BYTES / MIN_BODY_PACE_BYTES_PER_S
@@ -98,6 +100,41 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize(
+    "partial",
+    [request("pay", b"body")[:40], request("pay", b"body")[:-2]],
+    ids=["half a head", "half a body"],
+)
+@pytest.mark.parametrize("pipelined", [0, MAX_PIPELINED_REQUESTS])
+def test_time_limits_of_request_begin_when_earlier_ones_are_answered(partial: bytes, pipelined: int) -> None:
+    """Such a request was rejected though its client could not send: the balancer had paused reading."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            gate, front = asyncio.Event(), testbed.node.front
+            testbed.upstreams[0].script = respond_after(gate, reply())
+            reader, writer = await testbed.connect()
+            writer.write(request())
+            await wait_until(lambda: testbed.upstreams[0].received)
+            (client,) = front.clients
+            writer.write(request() * pipelined + partial)
+            await wait_until(lambda: client.in_message and len(client.pipelined_requests) == pipelined)
+            client.message_started -= 2 * REQUEST_TIMEOUT_S
+            gate.set()
+            for _ in range(1 + pipelined):
+                assert (await read_message(reader)).status == 200
+            front.sweep()
+            writer.write(request("pay", b"body")[len(partial) :])
+            assert (await asyncio.wait_for(read_message(reader), 3)).status == 200
+            writer.write(partial)
+            await wait_until(lambda: client.in_message)
+            client.message_started -= 2 * REQUEST_TIMEOUT_S
+            front.sweep()  # no earlier request is served
+            assert (await asyncio.wait_for(read_message(reader), 3)).status == 408
+
+    uvloop.run(test())
+
+
 @async_test
 async def test_long_lasting_body_gives_way_to_others_while_memory_is_exhausted() -> None:
     """Otherwise a few slow clients would hold the memory, and the bodies of all others be rejected."""
