Tests: the client whose first request waits is set up in one place

Two tests of reading that goes on, and one of time limits, shared the lines that connect a client and have its first request served.

--- a/tests/test_reading_resumes.py
+++ b/tests/test_reading_resumes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import NamedTuple
 
 import pytest
 import uvloop
@@ -11,12 +12,37 @@
 from test_endings import connect_raw, respond_after
 
 from quartzford.backends.connection_pool import MIN_IDLE_S
+from quartzford.fronts.client_connection import Client
 from quartzford.fronts.pipeline import MAX_PIPELINED_REQUESTS
 
 LIMIT_BYTES = 1_000_000
 SMALL_BUFFER_BYTES = 4096
 
 
+class WaitingClient(NamedTuple):
+    """A client whose first request is being served; its answer waits for the gate."""
+
+    gate: asyncio.Event
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    connection: Client
+
+    async def status(self) -> int:
+        """Return the status of the next response."""
+        return (await asyncio.wait_for(read_message(self.reader), 2)).status
+
+
+async def connect_waiting_client(testbed: BalancerTestbed) -> WaitingClient:
+    """Connect a client, and return once the first upstream has its request."""
+    gate = asyncio.Event()
+    testbed.upstreams[0].script = respond_after(gate, reply())
+    reader, writer = await testbed.connect()
+    writer.write(request())
+    await wait_until(lambda: testbed.upstreams[0].received)
+    (connection,) = testbed.node.front.clients
+    return WaitingClient(gate, reader, writer, connection)
+
+
 def post(framing: str) -> bytes:
     """Return a short POST whose body has this framing."""
     if framing == "length":
@@ -60,26 +86,23 @@
 
     async def test() -> None:
         async with BalancerTestbed() as testbed:
-            gate, budget, front = asyncio.Event(), testbed.node.budget, testbed.node.front
-            testbed.upstreams[0].script = respond_after(gate, reply())
-            reader, writer = await testbed.connect()
-            writer.write(request())
-            await wait_until(lambda: testbed.upstreams[0].received)
-            (client,) = front.clients
+            budget, front = testbed.node.budget, testbed.node.front
+            client = await connect_waiting_client(testbed)
+            connection = client.connection
             budget.limit = 0
-            writer.write(request() * MAX_PIPELINED_REQUESTS + request("pay", b"b" * 5000)[:end])
-            await wait_until(lambda: client.paused_at and client.pipelined_requests.full)
+            client.writer.write(request() * MAX_PIPELINED_REQUESTS + request("pay", b"b" * 5000)[:end])
+            await wait_until(lambda: connection.paused_at and connection.pipelined_requests.full)
             budget.limit = LIMIT_BYTES
-            await wait_until(lambda: not client.paused_at)  # memory is free, the pipeline is still full
-            assert client in front.paused_clients
-            gate.set()
+            await wait_until(lambda: not connection.paused_at)  # memory is free, the pipeline is still full
+            assert connection in front.paused_clients
+            client.gate.set()
             for _ in range(1 + MAX_PIPELINED_REQUESTS):
-                assert (await asyncio.wait_for(read_message(reader), 2)).status == 200
+                assert await client.status() == 200
             if end < 0:
-                writer.write(b"b" * -end)
-            assert (await asyncio.wait_for(read_message(reader), 2)).status == 200
-            writer.write(post("length"))
-            assert (await asyncio.wait_for(read_message(reader), 2)).status == 200
+                client.writer.write(b"b" * -end)
+            assert await client.status() == 200
+            client.writer.write(post("length"))
+            assert await client.status() == 200
             assert budget.used == 0 and not front.paused_clients
 
     uvloop.run(test())
@@ -89,22 +112,18 @@
 async def test_pipelined_body_is_read_on_with_free_memory_while_an_earlier_request_is_served() -> None:
     """Reading a body stayed paused until the earlier request was answered, though there was memory again."""
     async with BalancerTestbed() as testbed:
-        gate, budget, front = asyncio.Event(), testbed.node.budget, testbed.node.front
-        testbed.upstreams[0].script = respond_after(gate, reply())
-        reader, writer = await testbed.connect()
-        writer.write(request())
-        await wait_until(lambda: testbed.upstreams[0].received)
-        (client,) = front.clients
+        budget, front = testbed.node.budget, testbed.node.front
+        client = await connect_waiting_client(testbed)
         budget.limit = 0
-        writer.write(request() + request("pay", b"b" * 5000)[:-1000])
-        await wait_until(lambda: client in front.paused_clients)
+        client.writer.write(request() + request("pay", b"b" * 5000)[:-1000])
+        await wait_until(lambda: client.connection in front.paused_clients)
         budget.limit = LIMIT_BYTES
         await wait_until(lambda: not front.paused_clients)  # read on behind the request that is being served
-        writer.write(b"b" * 1000)
-        await wait_until(lambda: len(client.pipelined_requests) == 2)
-        gate.set()
+        client.writer.write(b"b" * 1000)
+        await wait_until(lambda: len(client.connection.pipelined_requests) == 2)
+        client.gate.set()
         for _ in range(3):
-            assert (await asyncio.wait_for(read_message(reader), 2)).status == 200
+            assert await client.status() == 200
         assert budget.used == 0
 
 
--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -8,8 +8,8 @@
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, read_message, reply, request, wait_until
-from test_endings import respond_after
+from peers import BalancerTestbed, async_test, read_message, request, wait_until
+from test_reading_resumes import connect_waiting_client
 
 from quartzford.fronts.client_connection import Client
 from quartzford.fronts.client_timeouts import (
@@ -111,26 +111,24 @@
 
     async def test() -> None:
         async with BalancerTestbed() as testbed:
-            gate, front = asyncio.Event(), testbed.node.front
-            testbed.upstreams[0].script = respond_after(gate, reply())
-            reader, writer = await testbed.connect()
-            writer.write(request())
-            await wait_until(lambda: testbed.upstreams[0].received)
-            (client,) = front.clients
-            writer.write(request() * pipelined + partial)
-            await wait_until(lambda: client.in_message and len(client.pipelined_requests) == pipelined)
-            client.message_started -= 2 * REQUEST_TIMEOUT_S
-            gate.set()
+            front, client = testbed.node.front, await connect_waiting_client(testbed)
+            connection = client.connection
+            client.writer.write(request() * pipelined + partial)
+            await wait_until(
+                lambda: connection.in_message and len(connection.pipelined_requests) == pipelined
+            )
+            connection.message_started -= 2 * REQUEST_TIMEOUT_S
+            client.gate.set()
             for _ in range(1 + pipelined):
-                assert (await read_message(reader)).status == 200
+                assert await client.status() == 200
             front.sweep()
-            writer.write(request("pay", b"body")[len(partial) :])
-            assert (await asyncio.wait_for(read_message(reader), 3)).status == 200
-            writer.write(partial)
-            await wait_until(lambda: client.in_message)
-            client.message_started -= 2 * REQUEST_TIMEOUT_S
+            client.writer.write(request("pay", b"body")[len(partial) :])
+            assert await client.status() == 200
+            client.writer.write(partial)
+            await wait_until(lambda: connection.in_message)
+            connection.message_started -= 2 * REQUEST_TIMEOUT_S
             front.sweep()  # no earlier request is served
-            assert (await asyncio.wait_for(read_message(reader), 3)).status == 408
+            assert await client.status() == 408
 
     uvloop.run(test())
 
