--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -138,16 +138,17 @@
     """Otherwise a few slow clients would hold the memory, and the bodies of all others be rejected."""
     async with BalancerTestbed() as testbed:
         budget, front = testbed.node.budget, testbed.node.front
-        budget.limit = 2 * PART_BYTES
-        slow = await begin_upload(testbed)
+        slow, other = await begin_upload(testbed), await begin_upload(testbed)
         slow.set_age(REQUEST_TIMEOUT_S + 0.1)
         front.sweep()
         assert not slow.client.closing  # there is memory
-        other = await begin_upload(testbed)
+        limit, budget.limit = budget.limit, budget.used
+        other.client.body_received(0)  # pauses for memory
         assert other.client.paused_at and budget.is_exhausted()
         front.sweep()
-        assert await slow.status() == 503 and budget.used == PART_BYTES
-        budget.limit = 4 * PART_BYTES
+        assert slow.client.closing and not other.client.closing and budget.used == PART_BYTES
+        budget.limit = limit
+        assert await slow.status() == 503
         other.writer.write(other.second_part)
         assert await other.status() == 200
 
