--- a/review/stage.py
+++ b/review/stage.py
@@ -451,10 +451,11 @@
         return self.process is not None and self.process.poll() is None
 
     def resident_mb(self) -> float:
-        """Return the memory that the process holds now, 0 if it has ended."""
+        """Return the memory that the process holds alone, without files that it maps; 0 if it has ended."""
         assert self.process is not None
         try:
-            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+            fields = Path(f"/proc/{self.process.pid}/statm").read_text().split()
+            pages = int(fields[1]) - int(fields[2])
         except (OSError, IndexError, ValueError):
             return 0.0
         return pages * os.sysconf("SC_PAGE_SIZE") / 1024 / 1024
