--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,8 +7,8 @@
 from stage import TROUBLE, UNSAFE, Client, Message, Stage, Upstream, play, request
 
 ROUNDS = 20
-WORK_S = (0.2, 0.4)  # the first request is still open when the second one comes
-DELAY_S = 0.05
+WORK_S = (0.095, 0.17)  # the site's work of a cobro: the first is still open when the second one comes
+DELAY_S = 0.04
 
 
 class Careful(Upstream):
