Long answers: the time-out of an attempt is not extended once its answer is streamed

Callers saw long answers to repeatable requests cut off after a pause of 0.15 s (with a length) or a second head in the middle of the body (in chunks, up to the close).

Cause: response_progressed replaced the timer of a streamed answer by the time-out of an attempt that can be retried. Change: the time-out is extended only while the answer is not streamed; the limits on streams hold from then on.

--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -215,14 +215,17 @@
         self.pending.charge(len(data))
 
     def response_progressed(self) -> None:
-        """Handle progress of the response: extend the time-out, and stream a long response."""
+        """Handle progress of the response: extend the time-out, and stream a long response.
+
+        A streamed response has other limits than the time-out of an attempt that can be retried.
+        """
         self.last_progress = self.pool.now()
+        if self.streaming:
+            return self._check_size()
         self._extend_timeout()
         if self.connection is None:
             return self._fail_on_long_body()
         response = self._response()
-        if self.streaming:
-            return self._check_size()
         if response.status != STATUS_OK:
             return self._fail_on_long_body()
         is_long = self.body_bytes > MAX_BUFFERED_BYTES or (response.content_length or 0) > MAX_BUFFERED_BYTES
--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -11,7 +11,7 @@
 from test_endings import connect_raw
 
 from quartzford.backends import http_attempt, overdue_streams
-from quartzford.backends.http_attempt import HttpAttempt
+from quartzford.backends.http_attempt import MAX_BODY_PAUSE_S, HttpAttempt
 from quartzford.backends.overdue_streams import (
     LONG_RESPONSE_BYTES,
     MAX_RESPONSE_BYTES,
@@ -149,6 +149,36 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("service_class", ["read", "book"])
+def test_streamed_response_to_repeatable_request_may_pause(framing: str, service_class: str) -> None:
+    """Guards against the time-out of a retryable attempt ending, or beginning again, a streamed response."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+
+            async def respond(message: Message, writer: asyncio.StreamWriter) -> None:
+                writer.write(head(framing) + piece(framing, FIRST_BYTES))
+                await wait_until(lambda: testbed.node.pool.streamed_attempts)
+                (attempt,) = testbed.node.pool.streamed_attempts
+                assert isinstance(attempt, HttpAttempt)
+                for size in (REST_BYTES // 2, REST_BYTES // 2):
+                    before = attempt.body_bytes
+                    writer.write(piece(framing, size))
+                    await wait_until(lambda total=before + size: attempt.body_bytes == total or attempt.ended)
+                    pause_ends_at = attempt.last_progress + 2 * MAX_BODY_PAUSE_S
+                    await wait_until(lambda end=pause_ends_at: testbed.node.clock.now() > end)
+                finish(framing, writer)
+
+            testbed.upstreams[0].script = respond
+            testbed.node.engine.balancer.latency.typical_latencies[service_class] = 20.0
+            answer = await testbed.submit(request(service_class))
+            assert answer.body == b"r" * SIZE
+            assert testbed.outcomes() == ["ok"] and len(testbed.upstreams[0].received) == 1
+
+    uvloop.run(test())
+
+
 # ---- the end of what never ends
 
 
