Requests with the ID of an open request are rejected, also after its client has left

Callers saw a bad client with the ID of another client's open cobro answered 200, and the cobro run at two upstreams. An ID that came again after its client had left ran again, too.

Cause: nothing compared the ID of a request with those that are open. Change: Engine.request_ids owns the IDs of the HTTP front's requests, from the last byte read to the answer; if the client left while the request may run, until the deadline and for 10 s. A request with such an ID gets 409 in its turn, then a close. Tests: request() in tests/peers.py now gives each request an ID of its own, as the protocol has it; tests that need a fixed one state it. No assertion is weaker.

--- a/quartzford/engine/__init__.py
+++ b/quartzford/engine/__init__.py
@@ -6,15 +6,18 @@
 from quartzford.engine.log import Log, StderrLog, print_error
 from quartzford.engine.pending_request import Attempt, Backend, PendingRequest
 from quartzford.engine.request_counters import RequestCounters
+from quartzford.engine.request_ids import PairedProcess, RequestIds
 
 __all__ = [
     "Attempt",
     "Backend",
     "BufferBudget",
+    "PairedProcess",
     "PendingRequest",
     "Clock",
     "Engine",
     "RequestCounters",
+    "RequestIds",
     "Handle",
     "Log",
     "LoopClock",
--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -12,11 +12,12 @@
 from typing import Any, Protocol
 
 from quartzford.decision import interface as io
-from quartzford.decision.logic import Balancer
+from quartzford.decision.logic import NEVER_RAN, Balancer
 from quartzford.engine.clock import Clock
 from quartzford.engine.log import Log
 from quartzford.engine.pending_request import Attempt, PendingRequest
 from quartzford.engine.request_counters import RequestCounters, RequestEnd
+from quartzford.engine.request_ids import RETENTION_S, RequestIds
 
 # Interval of the checks for overdue requests. A request is overdue when its deadline passed this long ago; it
 # is then ended whatever the state of its attempt or timer.
@@ -60,6 +61,7 @@
         self.pending_requests: dict[int, PendingRequest] = {}
         self.counts: Counter[str] = Counter()  # outcomes of attempts and ends of requests
         self.request_counters = RequestCounters()
+        self.request_ids = RequestIds(clock.now)
         self.recorder: RequestRecorder | None = None
         self.observer: AttemptObserver | None = None
         self.poll_list: Callable[[], None] = lambda: None  # requests the endpoint list, for the action Watch
@@ -172,10 +174,25 @@
             self.observer.request_ended(pending, end)
         self.pending_requests.pop(pending.number, None)
         pending.done = True
+        attempt = pending.attempt
         pending.attempt = None
+        written = attempt is not None and not math.isnan(attempt.written_at)
+        if end is RequestEnd.CLIENT_DISCONNECTED and (pending.possibly_ran or written):
+            self.request_ids.retain(pending.correlation_id, pending.deadline)
+        else:
+            self.request_ids.release(pending.correlation_id)
 
     # ---- from fronts
 
+    def claim_id(self, identity: str) -> bool:
+        """Claim the correlation ID of a complete request; False if another request has it, see RequestIds."""
+        return self.request_ids.claim(identity, self.id_retention_s)
+
+    @property
+    def id_retention_s(self) -> float:
+        """The seconds for which another process refuses the ID of a request that is open in this one."""
+        return self.max_deadline_ms / 1000.0 + RETENTION_S
+
     def next_number(self) -> int:
         """Return a number that no pending request has."""
         self._last_number = (self._last_number + 1) % REQUEST_NUMBER_COUNT
@@ -257,6 +274,8 @@
             self.observer.attempt_ended(attempt, outcome)
         if pending.attempt is attempt:
             pending.attempt = None
+        if code not in NEVER_RAN and not math.isnan(attempt.written_at):
+            pending.possibly_ran = True
         succeeded = code == io.Outcome.OK
         final = pending.done or succeeded or attempt.streaming or not retryable
         if final and not pending.done:
--- a/quartzford/engine/pending_request.py
+++ b/quartzford/engine/pending_request.py
@@ -23,17 +23,19 @@
         "backend",
         "service_class",
         "correlation_id",
+        "possibly_ran",
     )
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
         self.number = -1
         self.service_class = ""  # the name that the request states, known or not
-        self.correlation_id = ""  # set by the client, for logs
+        self.correlation_id = ""  # set by the client
         self.deadline = math.inf  # seconds on the engine's clock
         self.attempt: Attempt | None = None
         self.sends = 0
         self.done = False
+        self.possibly_ran = False  # an attempt that has ended may have run
 
     @abstractmethod
     def served(self, answer: Any) -> None:
--- a/quartzford/fronts/client_connection.py
+++ b/quartzford/fronts/client_connection.py
@@ -167,7 +167,7 @@
         self._release_unflushed()
 
     def _disconnected(self) -> None:
-        self.pipelined_requests.release()
+        self.pipelined_requests.discard(self.front.engine.request_ids)
         self._drop_body()
         exchange = self.exchange
         self.exchange = None
@@ -241,9 +241,12 @@
     def request_completed(self) -> None:
         """Serve the request, or queue it if an earlier request on this connection is not answered."""
         front = self.front
+        checked = not self.reader.is_health_check
+        if checked and not front.engine.claim_id(self.reader.correlation_id):
+            return self.reader.fail(responses.CONFLICT)
         exchange = new_exchange(self.reader, self, front.backend, front.budget)
         request = None
-        if not self.reader.is_health_check:
+        if checked:
             request = new_request(self.reader, exchange, front.engine, front.now())
         if self.exchange is not None or self.pipelined_requests:
             self.pipelined_requests.add(exchange, request)
@@ -349,7 +352,7 @@
         else:
             exchange.release()
         if not exchange.keep_alive:
-            self.pipelined_requests.release()
+            self.pipelined_requests.discard(self.front.engine.request_ids)
             self._begin_lingering_close()
         elif self.pipelined_requests:
             self._serve_next()
--- a/quartzford/fronts/pipeline.py
+++ b/quartzford/fronts/pipeline.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from quartzford.decision import interface as io
+from quartzford.engine import RequestIds
 from quartzford.fronts.exchange import Exchange
 
 MAX_PIPELINED_REQUESTS = 16
@@ -43,9 +44,10 @@
             self.full = False
         return taken
 
-    def release(self) -> None:
-        """Remove all requests, which will not be served, and release their buffered bytes."""
+    def discard(self, request_ids: RequestIds) -> None:
+        """Remove all requests, which will not be served, and release their buffered bytes and their IDs."""
         for pipelined in self:
             pipelined.exchange.release()
+            request_ids.release(pipelined.exchange.correlation_id)
         self.clear()
         self.full = False
--- a/quartzford/fronts/request_intake.py
+++ b/quartzford/fronts/request_intake.py
@@ -8,7 +8,6 @@
 from quartzford.fronts.request_reader import (
     ACCOUNT,
     COOKIE,
-    CORRELATION_ID,
     IDEMPOTENCY_KEY,
     REPEAT,
     SERVICE_CLASS,
@@ -51,7 +50,7 @@
     exchange.streams_response = service_class is not None and service_class.streaming
     exchange.deadline = now + left_ms / 1000.0
     exchange.number = engine.next_number()
-    exchange.correlation_id = reader.value(CORRELATION_ID)
+    exchange.correlation_id = reader.correlation_id
     return io.Request(
         exchange.number,
         name,
--- a/quartzford/fronts/request_reader.py
+++ b/quartzford/fronts/request_reader.py
@@ -178,6 +178,11 @@
         """Whether the request has no body, no Content-Length and no chunked framing."""
         return not self.body_bytes and CONTENT_LENGTH not in self.values and not self.chunked
 
+    @property
+    def correlation_id(self) -> str:
+        """The request's correlation ID."""
+        return self.value(CORRELATION_ID).strip()
+
     def value(self, name: bytes) -> str:
         """Return the value of one of READ_FIELDS, "" if the request does not have it."""
         return self.values.get(name, "")
@@ -227,7 +232,7 @@
         if self._head_size() > MAX_HEAD_BYTES:
             self.fail(FIELDS_TOO_LARGE)
         self._check_framing()
-        if not self.value(CORRELATION_ID).strip() and not self.is_health_check:
+        if not self.correlation_id and not self.is_health_check:
             self.fail(BAD_REQUEST)  # upstreams reject requests without a correlation ID
         if EXPECT in self.values and not self.error:
             self._sink.head_expects_continue()
--- a/quartzford/fronts/responses.py
+++ b/quartzford/fronts/responses.py
@@ -7,6 +7,7 @@
 OK = 200
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
+CONFLICT = 409
 CONTENT_TOO_LARGE = 413
 FIELDS_TOO_LARGE = 431
 INTERNAL_ERROR = 500
@@ -17,6 +18,7 @@
     OK: b"OK",
     BAD_REQUEST: b"Bad Request",
     REQUEST_TIMEOUT: b"Request Timeout",
+    CONFLICT: b"Conflict",
     CONTENT_TOO_LARGE: b"Content Too Large",
     FIELDS_TOO_LARGE: b"Request Header Fields Too Large",
     INTERNAL_ERROR: b"Internal Server Error",
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import math
 import os
@@ -95,6 +96,8 @@
 
 TICK_S = 0.005
 
+REQUEST_NUMBERS = itertools.count(1)  # for the IDs of clients' requests
+
 
 class LoopLag:
     """Context manager that measures the maximum lag of the event loop while its block runs.
@@ -356,11 +359,16 @@
     method: str = "",
     time_left: str = "2500m",
     path: str = "/api",
+    identity: str = "",
 ) -> bytes:
-    """Return the bytes of a client's request of this service class. time_left: value of X-Time-Left."""
+    """Return the bytes of a client's request of this service class, by default with an ID of its own.
+
+    time_left: value of X-Time-Left. identity: value of X-Correlation-Id.
+    """
+    identity = identity or f"c{next(REQUEST_NUMBERS)}"
     method = method or ("GET" if name == "read" else "POST")
-    head = f"{method} {path} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: c1\r\nX-Service-Class: {name}\r\n"
-    head += f"X-Account: acme\r\nX-Time-Left: {time_left}\r\n"
+    head = f"{method} {path} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {identity}\r\n"
+    head += f"X-Service-Class: {name}\r\nX-Account: acme\r\nX-Time-Left: {time_left}\r\n"
     if name == "book":
         head += "Idempotency-Key: k1\r\n"
     if body is not None:
@@ -368,6 +376,11 @@
     return (head + fields + "\r\n").encode() + (body or b"")
 
 
+def requests(count: int, name: str = "read", body: bytes | None = None) -> bytes:
+    """Return the bytes of this many requests, each with an ID of its own."""
+    return b"".join(request(name, body) for _ in range(count))
+
+
 def async_test(test: Callable[[], Coroutine[Any, Any, None]]) -> Callable[[], None]:
     """Decorator that runs a coroutine test on uvloop, the event loop of the balancer, with a time limit."""
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -57,7 +57,7 @@
                 name = f"{number}-{step}"
                 left = b"9999999999m" if step % 5 else b"2500m"
                 made_up = {b"pay": b"class-", b"acme": b"tenant-", b": c1": b": id-"}
-                data = request("pay", b"").replace(b"2500m", left)
+                data = request("pay", b"", identity="c1").replace(b"2500m", left)
                 for word, stem in made_up.items():
                     data = data.replace(word, stem + name.encode())
                 writer.write(data)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -12,7 +12,7 @@
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, reply, request, responds_with, wait_until
+from peers import BalancerTestbed, async_test, reply, request, requests, responds_with, wait_until
 from test_endings import LINGER_RESET, connect_raw
 
 from quartzford.engine.pending_request import Attempt
@@ -87,7 +87,7 @@
                 testbed.update(testbed.list_row(0, "draining"), testbed.list_row(1, "draining"))
                 await wait_until(lambda: not testbed.node.engine.balancer.ready)
             sock = disconnect_at.client = await connect_raw(testbed)
-            sock.send(request() * {"pipelined": 2, "unread": 40}.get(where, 1))
+            sock.send(requests({"pipelined": 2, "unread": 40}.get(where, 1)))
             if where == "wait":
                 await wait_until(lambda: testbed.node.engine.pending_requests)
                 testbed.update(testbed.list_row(0), testbed.list_row(1), complete=True)
--- a/tests/test_close_answers.py
+++ b/tests/test_close_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 import uvloop
-from peers import SETTINGS, BalancerTestbed, async_test, read_message, reply, request, wait_until
+from peers import SETTINGS, BalancerTestbed, async_test, read_message, reply, request, requests, wait_until
 from test_endings import read_all, respond_after
 from test_operations import OperationsTestbed, operations_port
 from test_relay_server import PATH, RelayTestbed, relay_testbed
@@ -107,7 +107,7 @@
         async with BalancerTestbed() as testbed:
             gate = asyncio.Event()
             testbed.upstreams[0].script = respond_after(gate, reply())
-            follow = {"whole ones": request() * 4, "a half one": partial_request(), "none": b"NONE \r\n\r\n"}
+            follow = {"whole ones": requests(4), "a half one": partial_request(), "none": b"NONE \r\n\r\n"}
             reader, writer = await testbed.connect()
             writer.write(request() + follow[behind])
             await wait_until(lambda: testbed.upstreams[0].received and testbed.node.front.clients)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -25,6 +25,7 @@
     read_message,
     reply,
     request,
+    requests,
     wait_until,
 )
 
@@ -87,7 +88,7 @@
         client = next(iter(testbed.node.front.clients))
         await wait_until(lambda: client.closing)
         for _ in range(20):
-            sock.send(request() * 10)
+            sock.send(requests(10))
             await asyncio.sleep(0.01)
         data = await asyncio.wait_for(read_all(sock), 5)
         assert data.endswith(body) and len(data) < len(body) + 200
@@ -197,7 +198,7 @@
             sock.send(request())
             await wait_until(lambda: testbed.upstreams[0].received)
             if why == "pipelined":
-                sock.send(request("pay", b"") * 40)
+                sock.send(requests(40, "pay", b""))
             else:
                 testbed.node.budget.limit = 0
                 sock.send(request("pay", b"") + request("pay", b"b" * 5000)[:-1000])
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -40,7 +40,7 @@
                 writer.write(reply(b"", "503 Full", "X-Unprocessed: 1\r\n"))
 
             testbed.upstreams[0].script = testbed.upstreams[1].script = reject_once
-            assert (await testbed.submit(request())).status == 200
+            assert (await testbed.submit(request(identity="c1"))).status == 200
             await wait_until(
                 lambda: reporter.previous_counts.get("ends", {}).get("ok")
             )  # a line was written, and a connection is idle
--- a/tests/test_reading_resumes.py
+++ b/tests/test_reading_resumes.py
@@ -8,7 +8,7 @@
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, Message, async_test, read_message, reply, request, wait_until
+from peers import BalancerTestbed, Message, async_test, read_message, reply, request, requests, wait_until
 from test_endings import connect_raw, respond_after
 
 from quartzford.backends.connection_pool import MIN_IDLE_S
@@ -90,7 +90,7 @@
             client = await connect_waiting_client(testbed)
             connection = client.connection
             budget.limit = 0
-            client.writer.write(request() * MAX_PIPELINED_REQUESTS + request("pay", b"b" * 5000)[:end])
+            client.writer.write(requests(MAX_PIPELINED_REQUESTS) + request("pay", b"b" * 5000)[:end])
             await wait_until(lambda: connection.paused_at and connection.pipelined_requests.full)
             budget.limit = LIMIT_BYTES
             await wait_until(lambda: not connection.paused_at)  # memory is free, the pipeline is still full
@@ -223,7 +223,7 @@
         testbed.upstreams[0].script = pour
         sock = await connect_slow_client(testbed)
         (client,) = testbed.node.front.clients
-        sock.send(request() * 2)
+        sock.send(requests(2))
         await wait_until(lambda: client.write_blocked and testbed.node.pool.streamed_attempts)
         for _ in range(50):  # time to buffer the response, were it not paused
             assert client.transport.get_write_buffer_size() < 1_000_000
--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -8,7 +8,7 @@
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, read_message, request, wait_until
+from peers import BalancerTestbed, async_test, read_message, request, requests, wait_until
 from test_reading_resumes import connect_waiting_client
 
 from quartzford.fronts.client_connection import Client
@@ -102,7 +102,7 @@
 
 @pytest.mark.parametrize(
     "partial",
-    [request("pay", b"body")[:40], request("pay", b"body")[:-2]],
+    [request("pay", b"body", identity="half")[:40], request("pay", b"body", identity="half")[:-2]],
     ids=["half a head", "half a body"],
 )
 @pytest.mark.parametrize("pipelined", [0, MAX_PIPELINED_REQUESTS])
@@ -113,7 +113,7 @@
         async with BalancerTestbed() as testbed:
             front, client = testbed.node.front, await connect_waiting_client(testbed)
             connection = client.connection
-            client.writer.write(request() * pipelined + partial)
+            client.writer.write(requests(pipelined) + partial)
             await wait_until(
                 lambda: connection.in_message and len(connection.pipelined_requests) == pipelined
             )
@@ -122,7 +122,7 @@
             for _ in range(1 + pipelined):
                 assert await client.status() == 200
             front.sweep()
-            client.writer.write(request("pay", b"body")[len(partial) :])
+            client.writer.write(request("pay", b"body", identity="half")[len(partial) :])
             assert await client.status() == 200
             client.writer.write(partial)
             await wait_until(lambda: connection.in_message)
--- a/tests/test_sockets_outcomes.py
+++ b/tests/test_sockets_outcomes.py
@@ -20,6 +20,7 @@
     read_message,
     reply,
     request,
+    requests,
     responds_with,
     wait_until,
 )
@@ -464,7 +465,7 @@
     async with BalancerTestbed() as testbed:
         testbed.upstreams[0].script = never_responds
         _, writer = await testbed.connect()
-        writer.write(request("pay", b"first") + request("pay", b"second") * 3)
+        writer.write(request("pay", b"first") + requests(3, "pay", b"second"))
         await wait_until(lambda: testbed.upstreams[0].received and testbed.node.budget.used > 20)
         writer.transport.abort()
         await wait_until(lambda: not testbed.node.front.clients)
--- a/tests/test_sockets_requests.py
+++ b/tests/test_sockets_requests.py
@@ -26,13 +26,14 @@
 async def test_request_of_each_effect_and_framing_is_forwarded_unchanged() -> None:
     async with BalancerTestbed() as testbed:
         for name, body in itertools.product(("read", "book", "pay"), (b"", b"x" * 5000)):
-            answer = await testbed.submit(
-                request(name, body, path="/api/a?b=c%20d&e", fields="Cookie: sid=7\r\n")
-            )
+            identity = f"{name}-{len(body)}"
+            path = "/api/a?b=c%20d&e"
+            data = request(name, body, path=path, fields="Cookie: sid=7\r\n", identity=identity)
+            answer = await testbed.submit(data)
             received = testbed.upstreams[0].received[-1]
             assert (answer.status, answer.body) == (200, b"done")
             assert received.line == f"{'GET' if name == 'read' else 'POST'} /api/a?b=c%20d&e HTTP/1.1"
-            assert received.body == body and received.fields["x-correlation-id"] == "c1"
+            assert received.body == body and received.fields["x-correlation-id"] == identity
             assert received.fields.get("idempotency-key") == ("k1" if name == "book" else None)
             event = next(e for e in reversed(testbed.events) if isinstance(e, io.Request))
             assert (event.service_class, event.tenant, event.key, event.keyed) == (
@@ -221,8 +222,8 @@
         (b"GET /" + b"a" * 40_000 + b" HTTP/1.1\r\n\r\n", 431),
         (b"POST / HTTP/1.1\r\nContent-Length: 33554433\r\n\r\nabc", 413),
         # Without a correlation ID: the upstreams would reject the request, which would cost an attempt.
-        (request("pay", b"").replace(b"X-Correlation-Id: c1\r\n", b""), 400),
-        (request().replace(b"X-Correlation-Id: c1\r\n", b"X-Correlation-Id: \r\n"), 400),
+        (request("pay", b"", identity="c1").replace(b"X-Correlation-Id: c1\r\n", b""), 400),
+        (request(identity="c1").replace(b"X-Correlation-Id: c1\r\n", b"X-Correlation-Id: \r\n"), 400),
     ],
 )
 def test_invalid_request_is_rejected_and_connection_closed(data: bytes, status: int) -> None:
@@ -275,7 +276,8 @@
 
     async def test() -> None:
         async with BalancerTestbed() as testbed:
-            assert (await testbed.submit(request("pay", b"", fields=repeated_field))).status == 400
+            data = request("pay", b"", fields=repeated_field, identity="c1")
+            assert (await testbed.submit(data)).status == 400
             assert testbed.upstreams[0].received == []
 
     uvloop.run(test())
@@ -290,7 +292,8 @@
         connection_fields = (
             "X-Mine: 1\r\nConnection: keep-alive, X-Correlation-Id, idempotency-key, X-Mine\r\n"
         )
-        assert (await testbed.submit(request("book", b"", fields=connection_fields))).status == 200
+        data = request("book", b"", fields=connection_fields, identity="c1")
+        assert (await testbed.submit(data)).status == 200
         fields = testbed.upstreams[0].received[0].fields
         assert fields["x-correlation-id"] == "c1" and fields["idempotency-key"] == "k1"
         assert "x-mine" not in fields
