One account of all that clients make a balancer hold, charged before it is stored

Cause: the loop read 256 KiB from each connection and all of it was parsed before a limit was compared; fields were pairs of objects; trailer sections had no limit; heads, waiting requests and most unread responses were in no account. Change: ReadBuffer (one buffer for all connections, short while memory is exhausted), InputQueue and slices of 4 KiB, a parser that is stopped at the field over the limit, fields held encoded, bodies in pieces, Charge for each holder. A connection always holds up to 32 KiB. A request behind unread responses waits. What one connection may do in a turn of the event loop is bounded (MAX_UNITS_PER_TURN). client_connection.py is split: client_input.py reads and parses. Tests: three tests whose pause came from a full pipeline get a small MAX_QUEUED_BYTES, as bytes are now read on behind it, by which the end of a connection is seen earlier; the one on a response streamed behind an unread response now also holds that the second request is not forwarded; the limit of the account is compared with what the reader holds.

--- a/quartzford/backends/connection_pool.py
+++ b/quartzford/backends/connection_pool.py
@@ -13,7 +13,7 @@
 from quartzford.backends.response_reader import STATUS_OK
 from quartzford.backends.upstream_connection import Connection
 from quartzford.decision import interface as io
-from quartzford.engine import BufferBudget, Clock, Engine
+from quartzford.engine import BufferBudget, Clock, Engine, ReadBuffer
 from quartzford.membership.listing import Listing
 
 IDLE_TIMEOUT_SHARE = 0.6  # idle connections are closed after this share of the upstreams' own idle time-out
@@ -49,6 +49,7 @@
     ) -> None:
         self.engine = core
         self.budget = budget
+        self.read_buffer = ReadBuffer(budget)
         self.clock = clock
         self.now = clock.now
         self.loop = loop
@@ -212,6 +213,11 @@
 
     # ---- called by connections
 
+    @property
+    def read_buffer(self) -> ReadBuffer:
+        """The buffer that bytes are read into."""
+        return self.pool.read_buffer
+
     @property
     def report_names(self) -> tuple[str, ...]:
         """Names of the values of a load report, in the order of the settings."""
--- a/quartzford/backends/http_attempt.py
+++ b/quartzford/backends/http_attempt.py
@@ -164,7 +164,7 @@
         for that is subtracted, and `_check_flushed` ends an attempt that takes longer.
         """
         time_left_s = self.pending.deadline - now
-        if len(self.pending.body) > MAX_JOINED_BYTES:
+        if self.pending.body.size > MAX_JOINED_BYTES:
             allowance = LONG_SEND_ALLOWANCE_SHARE * time_left_s
         else:
             allowance = min(SEND_ALLOWANCE_S, time_left_s / 2)
--- a/quartzford/backends/http_call.py
+++ b/quartzford/backends/http_call.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple, Protocol
 
+from quartzford.engine import Body
+
 
 class CompleteResponse(NamedTuple):
     """A complete 200 response. fields: header lines to forward. chunks: the pieces of the body."""
@@ -19,7 +21,7 @@
     """
 
     deadline: float
-    body: bytes | bytearray
+    body: Body
     streams_response: bool
 
     def upstream_head(self, time_left_s: float) -> bytes:
--- a/quartzford/backends/upstream_connection.py
+++ b/quartzford/backends/upstream_connection.py
@@ -9,6 +9,7 @@
 
 from quartzford.backends import outcomes
 from quartzford.backends.response_reader import STATUS_OK, ResponseReader
+from quartzford.engine import Body, ReadBuffer
 
 HOLD_UP_THRESHOLD_S = 0.02  # if a timer is late by this much, the event loop was held up
 MAX_JOINED_BYTES = 64 * 1024  # a body up to this length is joined with its head for one write
@@ -44,6 +45,10 @@
 
     name: str
 
+    @property
+    def read_buffer(self) -> ReadBuffer:
+        """The buffer that bytes are read into."""
+
     @property
     def report_names(self) -> tuple[str, ...]:
         """Names of the values of a load report, in the order of the settings."""
@@ -61,7 +66,7 @@
         """Called when an idle connection has ended, or has received bytes that belong to no request."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection; in use while `attempt` is set, otherwise one of its owner's idle connections.
 
     flushed: the system has accepted the request's last byte. idle_since: seconds on the engine's clock.
@@ -174,19 +179,19 @@
             self.response.release()
         self.response = ResponseReader(self.owner.report_names, self._body_received)
 
-    def send(self, head: bytes, body: bytes | bytearray) -> None:
+    def send(self, head: bytes, body: Body) -> None:
         """Write the request, and note whether the system has accepted all of it."""
-        if not body:
+        if not body.size:
             self.transport.write(head)
-        elif len(body) <= MAX_JOINED_BYTES:
-            self.transport.write(head + body)
+        elif body.size <= MAX_JOINED_BYTES:
+            self.transport.write(b"".join((head, *body.pieces())))
         else:
-            self.transport.writelines((head, body))
+            self.transport.writelines((head, *body.pieces()))
         self.flushed = not self.transport.is_closing() and not self.transport.get_write_buffer_size()
         if self.flushed:
             self.owner.request_sent()
 
-    # ---- asyncio.Protocol
+    # ---- asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and have `resume_writing` called when the last byte has been accepted."""
@@ -200,8 +205,13 @@
             self.owner.request_sent()
         self.flushed = True
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next read."""
+        return self.owner.read_buffer.writable()
+
+    def buffer_updated(self, size: int) -> None:
         """Parse bytes of the response; close the connection if it is idle."""
+        data = self.owner.read_buffer.read(size)
         attempt = self.attempt
         response = self.response
         if attempt is None or response is None:
@@ -209,7 +219,7 @@
             return self.close()
         response.feed(data)
         if self.attempt is attempt:
-            self._report_progress(attempt, response, len(data))
+            self._report_progress(attempt, response, size)
 
     def _report_progress(self, attempt: CarriedAttempt, response: ResponseReader, size: int) -> None:
         if response.status == STATUS_OK and not self.flushed:
--- /dev/null
+++ b/quartzford/fronts/client_input.py
@@ -0,0 +1,252 @@
+"""The input of a client's connection: reads bytes and parses them, within limits of memory and of a turn."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from abc import ABC, abstractmethod
+from typing import cast
+
+from quartzford.engine import Charge
+from quartzford.fronts import responses
+from quartzford.fronts.client_owner import ClientOwner
+from quartzford.fronts.input_queue import InputQueue
+from quartzford.fronts.pipeline import Pipeline
+from quartzford.fronts.request_reader import RequestReader
+from quartzford.protocols.lingering import LingeringClose
+
+WRITE_HIGH_WATER_BYTES = 16 * 1024
+HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# A connection may hold as much of its input even while the budget is exhausted: short requests are served.
+RESERVED_BYTES = 32 * 1024
+# Bytes are read on behind requests that wait, so that the end of the connection is noticed behind them.
+MAX_QUEUED_BYTES = 256 * 1024
+SLICE_BYTES = 4 * 1024  # parsed at once, which limits the number of requests that a slice holds
+SHORT_SLICE_BYTES = 512  # the same while the budget is exhausted
+# What one connection may do in a turn of the event loop: requests, fields and pieces of bodies that are
+# parsed, with each request that is served counted as REQUEST_UNITS of them.
+MAX_UNITS_PER_TURN = 512
+REQUEST_UNITS = 32
+
+
+class ClientInput(asyncio.BufferedProtocol, ABC):
+    """Reads a client's bytes, queues what can't be parsed yet, and pauses reading where the queue is long.
+
+    pipelined_requests: complete requests that wait to be served. closing: received bytes are discarded.
+
+    Times in seconds on the engine's clock: message_started, when the first byte of the last request was
+    parsed, or when the response before it was written if that was later; last_progress, when a byte was
+    last read or written; paused_at, since when parsing has been paused for lack of memory, 0 if it is not
+    paused for that. Such a pause ends once there is memory, and at the latest when all requests that were
+    read are answered.
+    """
+
+    __slots__ = (
+        "front",
+        "transport",
+        "reader",
+        "pipelined_requests",
+        "message_started",
+        "last_progress",
+        "write_blocked",
+        "closing",
+        "lingering",
+        "paused_at",
+        "arrived_at",
+        "_queue",
+        "_charge",
+        "_unread_since",
+        "_advancing",
+        "_turn_ended",
+    )
+    transport: asyncio.Transport
+
+    def __init__(self, front: ClientOwner) -> None:
+        self.front = front
+        self.reader = RequestReader(self)
+        self.pipelined_requests = Pipeline()
+        self.message_started = front.now()
+        self.last_progress = self.message_started
+        self.write_blocked = False  # the client reads more slowly than its response arrives
+        self.closing = False
+        self.lingering: LingeringClose | None = None
+        self.paused_at = 0.0
+        self.arrived_at = self.message_started  # of the bytes that are being parsed
+        self._queue = InputQueue()
+        self._charge = Charge(front.budget)
+        self._unread_since = 0.0  # since when bytes may wait with the system, 0 if all have been read
+        self._advancing = False
+        self._turn_ended = False  # the rest of the queue is parsed in the next turn of the event loop
+
+    # ---- state
+
+    @property
+    def in_message(self) -> bool:
+        """Whether a part of a request has been received, but not all of it."""
+        return self.reader.in_message or bool(self._queue.size)
+
+    @property
+    def error(self) -> int:
+        """Return the status code for invalid input on this connection, 0 if all input was valid."""
+        return self.reader.error
+
+    def connected(self) -> bool:
+        """Return whether no FIN or reset has arrived, not even one behind bytes that were not read yet."""
+        return not self.transport.is_closing() and not self._has_event(HANGUP_EVENTS)
+
+    def _has_event(self, events: int) -> bool:
+        poll = select.poll()
+        poll.register(self.descriptor(), events)
+        return bool(poll.poll(0))
+
+    def descriptor(self) -> int:
+        """Return the descriptor of the connection's socket."""
+        descriptor: int = self.transport.get_extra_info("socket").fileno()
+        return descriptor
+
+    # ---- asyncio.BufferedProtocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection with the front."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self.front.client_opened(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next read."""
+        return self.front.read_buffer.writable()
+
+    def buffer_updated(self, size: int) -> None:
+        """Take bytes that were read; reject the input if it is invalid and no earlier response is due."""
+        if self.closing:
+            if self.lingering is not None:
+                self.lingering.received(size)
+            return
+        now = self.front.now()
+        self.last_progress = now
+        if self.reader.error:
+            return
+        data = self.front.read_buffer.read(size)
+        self._charge.add(size)
+        self._queue.add(data, self._unread_since or now)
+        if size < len(self.front.read_buffer.writable()):
+            self._unread_since = 0.0
+        self.advance()
+
+    # ---- parsing
+
+    def advance(self) -> None:
+        """Parse and serve as much as may be parsed and served in this turn of the event loop."""
+        if self._advancing:
+            return
+        self._advancing = True
+        units_left = MAX_UNITS_PER_TURN
+        try:
+            while units_left > 0 and (units := self._step()):
+                units_left -= units
+        finally:
+            self._advancing = False
+        if units_left <= 0 and not self._turn_ended:
+            self._turn_ended = True
+            self.front.clock.call_soon(self._next_turn)
+        self._update_reading()
+
+    def _next_turn(self) -> None:
+        self._turn_ended = False
+        self.advance()
+
+    def _step(self) -> int:
+        """Take one step of parsing or serving; return its units, 0 if there is nothing to do now."""
+        if self.closing or self._turn_ended:
+            return 0
+        if self.serve_waiting():
+            return REQUEST_UNITS
+        if self._may_parse():
+            return self._parse_slice()
+        return 0
+
+    def _may_parse(self) -> bool:
+        return bool(self._queue.size) and not (
+            self.reader.error or self.pipelined_requests.full or self.paused_at or self.write_blocked
+        )
+
+    def _parse_slice(self) -> int:
+        exhausted = self.front.budget.is_exhausted()
+        data, self.arrived_at = self._queue.take(SHORT_SLICE_BYTES if exhausted else SLICE_BYTES)
+        if not self.reader.in_message:
+            self.message_started = self.front.now()
+            self.reader.begin_message()
+        units = self.reader.units
+        self.reader.feed(data)
+        self._update_charge()
+        if self.front.budget.is_exhausted() and self._holds_more_than_reserved():
+            self.pause_for_memory()
+        return 1 + self.reader.units - units
+
+    def _update_charge(self) -> None:
+        if self.reader.error:
+            self._queue.clear()  # nothing is parsed after an error
+        self._charge.set(self._queue.size + self.reader.held_bytes)
+
+    def _holds_more_than_reserved(self) -> bool:
+        """Return whether the connection holds a part of a body, or more than it may without memory."""
+        held_bytes = self._charge.size + self.pipelined_requests.held_bytes
+        return self.reader.body.size > 0 or held_bytes > RESERVED_BYTES
+
+    @abstractmethod
+    def serve_waiting(self) -> bool:
+        """Serve the next pipelined request, or reject invalid input; return whether a request was served."""
+
+    @abstractmethod
+    def head_expects_continue(self) -> None:
+        """Ask for the body with a 100 response, see RequestSink."""
+
+    @abstractmethod
+    def request_completed(self) -> None:
+        """Queue the request that was read, see RequestSink."""
+
+    def release_input(self) -> None:
+        """Drop all input that is not part of a complete request."""
+        self._queue.clear()
+        self.reader.drop_request()
+        self._charge.set(0)
+
+    # ---- pauses
+
+    def pause_for_memory(self) -> None:
+        """Parse no more of the input until there is memory."""
+        self.paused_at = self.paused_at or self.front.now()
+        self._update_reading()
+
+    def end_memory_pause(self) -> None:
+        """Resume parsing if it was paused for lack of memory."""
+        if self.paused_at:
+            self.paused_at = 0.0
+            self.advance()
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading, by what prevents that the bytes already read are parsed."""
+        if self.transport.is_closing():
+            return
+        if not self._may_read():
+            self._unread_since = self._unread_since or self.front.now()
+            self.front.pause_reading(self)
+        elif self.front.resume_reading(self) and not self._has_event(select.POLLIN):
+            self._unread_since = 0.0
+
+    def _may_read(self) -> bool:
+        if self.closing:
+            return True
+        if self.paused_at or self._turn_ended or self.reader.error:
+            return False
+        if self.front.budget.is_exhausted():
+            return not self._queue.size
+        return self._queue.size < MAX_QUEUED_BYTES
+
+    # ---- RequestSink: events of the request reader
+
+    def upgrade_requested(self) -> None:
+        """Ignore the upgrade: answer the request as a plain one, and close the connection after it."""
+        if not self.reader.error:
+            self.pipelined_requests[-1].exchange.keep_alive = False
+        self.reader.fail(responses.BAD_REQUEST)
--- a/quartzford/fronts/client_timeouts.py
+++ b/quartzford/fronts/client_timeouts.py
@@ -54,7 +54,7 @@
         return age_s > HEAD_TIMEOUT_S
     if now - client.last_progress > BODY_STALL_S:
         return True
-    return age_s > REQUEST_TIMEOUT_S + client.reader.body_bytes / MIN_BODY_PACE_BYTES_PER_S
+    return age_s > REQUEST_TIMEOUT_S + client.reader.body.size / MIN_BODY_PACE_BYTES_PER_S
 
 
 def _waits_too_long_for_memory(client: Client, budget: BufferBudget, now: float) -> bool:
--- a/quartzford/fronts/exchange.py
+++ b/quartzford/fronts/exchange.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol, cast
 
-from quartzford.engine import Backend, BufferBudget, PendingRequest
+from quartzford.engine import EMPTY_BODY, Backend, Body, BufferBudget, Charge, PendingRequest
 from quartzford.fronts.responses import (
     BAD_GATEWAY,
     INTERNAL_ERROR,
@@ -19,7 +19,6 @@
     """The client connection that the response of an exchange is written to."""
 
     write_blocked: bool  # the client reads more slowly than its response arrives
-    held_bytes: int  # of a streamed response, in the write buffer while the client reads more slowly
 
     def answer(
         self,
@@ -40,6 +39,10 @@
     def end(self, exchange: Exchange, complete: bool) -> None:
         """End a streamed response."""
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of a streamed response in the write buffer, while the client reads more slowly."""
+
     def connected(self) -> bool:
         """Return whether the client is connected, by the state of its socket at the time of the call."""
 
@@ -54,26 +57,29 @@
         """Resume reading the response."""
 
 
+REQUEST_OVERHEAD_BYTES = 1024  # of a request beyond its head and body
+
+
 class Exchange(PendingRequest):
     """A client's request, from its last byte to its final response.
 
     line, fields: request line and header fields as sent to the upstream. keep_alive: the connection stays
     open after the response. is_http_1_0: the client uses HTTP/1.0. streams_response: responses of the service
-    class are forwarded as they arrive. charged: bytes buffered for this exchange, charged to the budget.
+    class are forwarded as they arrive. request_bytes: of the budget, for the request without its response.
     has_no_length: the request has no body and states no length. chunked_response: the response has chunked
     framing. response_ends_with_close: the end of the connection marks the end of the response.
     """
 
     __slots__ = (
         "client",
-        "budget",
         "line",
         "fields",
         "body",
         "keep_alive",
         "is_http_1_0",
         "streams_response",
-        "charged",
+        "request_bytes",
+        "_charge",
         "has_no_length",
         "chunked_response",
         "response_ends_with_close",
@@ -86,11 +92,11 @@
         budget: BufferBudget,
         line: bytes,
         fields: bytes,
-        body: bytes | bytearray,
+        body: Body,
     ) -> None:
         super().__init__(backend)
         self.client = client
-        self.budget = budget
+        self._charge = Charge(budget)
         self.line = line
         self.fields = fields
         self.body = body
@@ -100,7 +106,12 @@
         self.has_no_length = False
         self.chunked_response = False
         self.response_ends_with_close = False
-        self.charged = 0
+        self.request_bytes = 0
+
+    @property
+    def charged(self) -> int:
+        """The bytes charged to the budget for this exchange."""
+        return self._charge.size
 
     def streaming_attempt(self) -> PausableAttempt | None:
         """Return the attempt whose response is being forwarded, None if there is none."""
@@ -135,20 +146,23 @@
         self.release()
 
     def attempt_discarded(self) -> None:
-        """Release what the last attempt buffered; the request's own body stays charged."""
-        self.charge(len(self.body) - self.charged)
+        """Release what the last attempt buffered; the request itself stays charged."""
+        self._charge.set(self.request_bytes)
 
     # ---- called by an attempt
 
     def charge(self, size: int) -> None:
         """Charge `size` bytes to the budget; release them if it is negative."""
-        self.budget.used += size
-        self.charged += size
+        self._charge.add(size)
 
     def release(self) -> None:
         """Release all bytes charged for this exchange."""
-        self.budget.used -= self.charged
-        self.charged = 0
+        self._charge.set(0)
+
+    def drop_request(self) -> None:
+        """Drop what an attempt sends of the request: its response is final, and no attempt follows."""
+        self.line = self.fields = b""
+        self.body = EMPTY_BODY
 
     def begin(self, fields: list[bytes], length: int | None) -> None:
         """Write the head of a streamed response. length: bytes of its body, None if not stated."""
@@ -173,5 +187,5 @@
     def upstream_head(self, time_left_s: float) -> bytes:
         """Return the request's head for the upstream, with its time left in the X-Time-Left field."""
         time_left_us = max(0, int(time_left_s * 1_000_000))
-        framing = b"" if self.has_no_length else content_length(len(self.body))
+        framing = b"" if self.has_no_length else content_length(self.body.size)
         return b"%b%bX-Time-Left: %du\r\n%b\r\n" % (self.line, self.fields, time_left_us, framing)
--- a/quartzford/fronts/http_front.py
+++ b/quartzford/fronts/http_front.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from quartzford.engine import Backend, BufferBudget, Clock, Engine
+from quartzford.engine import Backend, BufferBudget, Clock, Engine, ReadBuffer
 from quartzford.fronts.client_connection import Client
 from quartzford.fronts.client_timeouts import check_timeouts
 from quartzford.fronts.listener import Listener, bind, open_connection
@@ -37,6 +37,7 @@
         self.engine = engine
         self.backend = backend
         self.budget = budget
+        self.read_buffer = ReadBuffer(budget)
         self.clock = clock
         self.now = clock.now
         self.ready = ready
@@ -161,16 +162,20 @@
 
     def pause_reading(self, client: Client) -> None:
         """Stop reading from a client, and poll for its disconnect, which the loop does not report then."""
+        if client in self.paused_clients:
+            return
         client.transport.pause_reading()
         if not self.paused_clients:
             self.clock.call_later(DISCONNECT_CHECK_INTERVAL_S, self._check_paused)
         self.paused_clients[client] = None
 
-    def resume_reading(self, client: Client) -> None:
-        """Resume reading from a client, if it was paused."""
-        if client in self.paused_clients:
-            del self.paused_clients[client]
-            client.transport.resume_reading()
+    def resume_reading(self, client: Client) -> bool:
+        """Resume reading from a client; return whether it was paused."""
+        if client not in self.paused_clients:
+            return False
+        del self.paused_clients[client]
+        client.transport.resume_reading()
+        return True
 
     def _check_paused(self) -> None:
         for client in list(self.paused_clients):
--- a/quartzford/fronts/pipeline.py
+++ b/quartzford/fronts/pipeline.py
@@ -27,6 +27,11 @@
 
     __slots__ = ("full",)
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are charged for the waiting requests."""
+        return sum(pipelined.exchange.charged for pipelined in self)
+
     def __init__(self) -> None:
         super().__init__()
         self.full = False
--- a/quartzford/fronts/request_intake.py
+++ b/quartzford/fronts/request_intake.py
@@ -4,7 +4,7 @@
 
 from quartzford.decision import interface as io
 from quartzford.engine import Backend, BufferBudget, Engine
-from quartzford.fronts.exchange import Exchange, ResponseChannel
+from quartzford.fronts.exchange import REQUEST_OVERHEAD_BYTES, Exchange, ResponseChannel
 from quartzford.fronts.request_reader import (
     ACCOUNT,
     COOKIE,
@@ -25,14 +25,15 @@
 ) -> Exchange:
     """Return an exchange for the request that the reader has completed.
 
-    The exchange takes over the request's body and the bytes charged for it.
+    The exchange takes over the request's fields and body, and charges the budget for them.
     """
     line = b"%b %b HTTP/1.1\r\n" % (reader.method, reader.target)
     exchange = Exchange(client, backend, budget, line, reader.forwarded_fields(), reader.body)
     exchange.keep_alive = reader.keep_alive
     exchange.is_http_1_0 = reader.is_http_1_0
     exchange.has_no_length = reader.has_no_length
-    exchange.charged = reader.drop_body()
+    exchange.request_bytes = reader.held_bytes + REQUEST_OVERHEAD_BYTES
+    exchange.charge(exchange.request_bytes)
     return exchange
 
 
--- a/quartzford/fronts/request_reader.py
+++ b/quartzford/fronts/request_reader.py
@@ -6,11 +6,13 @@
 
 import httptools
 
+from quartzford.engine import EMPTY_BODY, Body
 from quartzford.fronts.responses import BAD_REQUEST, CONTENT_TOO_LARGE, FIELDS_TOO_LARGE
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_BODY_BYTES = 32 * 1024 * 1024
 FIELD_OVERHEAD_BYTES = 4  # per header field: colon, space, CR LF
+HEAD_COPIES = 2  # a field may be held twice: to be forwarded, and as a value that the balancer uses
 HEALTH_PATH = b"/_health"
 
 HOST = b"host"
@@ -65,23 +67,23 @@
     def upgrade_requested(self) -> None:
         """Called after a request for a protocol upgrade; no input after it can be parsed."""
 
-    def body_received(self, size: int) -> None:
-        """Called after `size` more bytes of the body were buffered."""
-
-    def body_too_large(self) -> None:
-        """Called when the body exceeds MAX_BODY_BYTES."""
-
     def request_completed(self) -> None:
         """Called after a complete valid request; the reader's attributes describe it until this returns."""
 
 
+class FieldsTooLargeError(Exception):
+    """Raised from a callback of the parser, so that it parses no more of the bytes that it was given."""
+
+
 class RequestReader:
     """Parses consecutive requests.
 
     in_head, in_message: whether the next byte belongs to a head, and to a request that has begun. error:
-    status code of the first error, 0 if there is none; after an error no request is completed. values: values
-    of the fields that this balancer reads, by lower-case name. fields: the fields to forward. body_bytes:
-    size of the buffered body. chunked: the body has chunked framing, so its length is not known in advance.
+    status code of the first error, 0 if there is none; after an error nothing is parsed. values: values
+    of the fields that this balancer reads, by lower-case name. fields: the encoded fields to forward.
+    fields_bytes: size of all fields, of the head and of a trailer section. bytes_without_body: read of the
+    request since its first byte or the last byte of its body. chunked: the body has chunked framing, so its
+    length is not known in advance. units: number of requests, fields and pieces of bodies that were parsed.
     """
 
     __slots__ = (
@@ -90,13 +92,14 @@
         "in_head",
         "in_message",
         "error",
-        "head_bytes",
+        "bytes_without_body",
         "target",
         "fields",
+        "fields_bytes",
         "values",
         "body",
-        "body_bytes",
         "chunked",
+        "units",
     )
 
     def __init__(self, sink: RequestSink) -> None:
@@ -105,49 +108,60 @@
         self.in_head = False
         self.in_message = False
         self.error = 0
-        self.head_bytes = 0
+        self.bytes_without_body = 0
         self.target = b""
-        self.fields: list[tuple[bytes, bytes]] = []
+        self.fields = bytearray()
+        self.fields_bytes = 0
         self.values: dict[bytes, str] = {}
-        self.body: bytes | bytearray = b""
-        self.body_bytes = 0
+        self.body = EMPTY_BODY
         self.chunked = False
+        self.units = 0
 
     def begin_message(self) -> None:
         """Prepare for the first byte of a request."""
         self.in_head = True
         self.in_message = True
-        self.head_bytes = 0
+        self.bytes_without_body = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held of the request that is being read."""
+        return HEAD_COPIES * (self.fields_bytes + len(self.target)) + self.body.size
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes, which may end at any position within a request."""
-        if self.in_head:
-            self.head_bytes += len(data)
+        """Parse bytes, which may end at any position within a request; drop them after an error."""
+        if self.error:
+            return
+        self.bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._sink.upgrade_requested()
         except httptools.HttpParserError:
             self.fail(BAD_REQUEST)
-        if self.in_head and self.in_message and self.head_bytes > MAX_HEAD_BYTES:
+        if self.in_message and self.bytes_without_body > MAX_HEAD_BYTES:
             self.fail(FIELDS_TOO_LARGE)
 
     def fail(self, status: int) -> None:
-        """Record an error's status code, unless an earlier error is recorded."""
+        """Record an error's status code, unless an earlier one is recorded, and drop what is forwarded."""
         self.error = self.error or status
+        self.fields = bytearray()
+        self.fields_bytes = 0
+        self.body = EMPTY_BODY
+
+    def drop_request(self) -> None:
+        """Discard what is held of the current request."""
+        self.fields = bytearray()
+        self.fields_bytes = 0
+        self.target = b""
+        self.values = {}
+        self.body = EMPTY_BODY
 
     def release(self) -> None:
         """Break the reference cycles with parser and sink. `feed` must not be called afterwards."""
         self._parser = None
         del self._sink
 
-    def drop_body(self) -> int:
-        """Discard the buffered part of a body, and return its size in bytes."""
-        size = self.body_bytes
-        self.body = b""
-        self.body_bytes = 0
-        return size
-
     # ---- the current request
 
     @property
@@ -176,7 +190,7 @@
     @property
     def has_no_length(self) -> bool:
         """Whether the request has no body, no Content-Length and no chunked framing."""
-        return not self.body_bytes and CONTENT_LENGTH not in self.values and not self.chunked
+        return not self.body.size and CONTENT_LENGTH not in self.values and not self.chunked
 
     @property
     def correlation_id(self) -> str:
@@ -189,13 +203,14 @@
 
     def forwarded_fields(self) -> bytes:
         """Return the encoded fields for the upstream, without those that Connection names as hop-by-hop."""
-        fields = self.fields
+        fields = bytes(self.fields)
         connection = self.value(CONNECTION)
         if "," in connection or connection.lower() not in ("", "close", "keep-alive"):
             hop_by_hop = {option.strip().lower().encode("latin-1") for option in connection.split(",")}
             hop_by_hop -= ALWAYS_FORWARDED
-            fields = [(name, value) for name, value in fields if name.lower() not in hop_by_hop]
-        return b"".join([b"%b: %b\r\n" % field for field in fields])
+            lines = fields.splitlines(keepends=True)
+            return b"".join([line for line in lines if line.partition(b":")[0].lower() not in hop_by_hop])
+        return fields
 
     # ---- called by httptools
 
@@ -203,33 +218,35 @@
         """Reset the state of the request: its first byte has been read."""
         self.in_head = True
         self.in_message = True
-        self.target = b""
-        self.fields = []
-        self.values = {}
-        self.body = b""
-        self.body_bytes = 0
+        self.drop_request()
         self.chunked = False
+        self.units += 1
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a field for the upstream, for this balancer, or for both."""
+        """Store a field for the upstream, for this balancer, or for both; also one of a trailer section."""
+        self.units += 1
+        self.fields_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        if self.fields_bytes > MAX_HEAD_BYTES:
+            self.fail(FIELDS_TOO_LARGE)
+            raise FieldsTooLargeError
         key = name.lower()
         if key in READ_FIELDS:
             if key in SINGLE_FIELDS and key in self.values:
                 self.fail(BAD_REQUEST)
             self.values[key] = value.decode("latin-1")
         if key not in NOT_FORWARDED:
-            self.fields.append((name, value))
+            self.fields += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """Validate the head."""
         self.in_head = False
         if self.method == b"CONNECT":
             self.fail(BAD_REQUEST)
-        if self._head_size() > MAX_HEAD_BYTES:
+        if self.fields_bytes + len(self.target) > MAX_HEAD_BYTES:
             self.fail(FIELDS_TOO_LARGE)
         self._check_framing()
         if not self.correlation_id and not self.is_health_check:
@@ -237,10 +254,6 @@
         if EXPECT in self.values and not self.error:
             self._sink.head_expects_continue()
 
-    def _head_size(self) -> int:
-        fields = sum(len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in self.fields)
-        return fields + len(self.target)
-
     def _check_framing(self) -> None:
         values = self.values
         if TRANSFER_ENCODING in values:
@@ -252,24 +265,22 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body."""
+        self.units += 1
+        self.bytes_without_body = 0
         if self.error:
             return
-        size = self.body_bytes + len(data)
-        if size > MAX_BODY_BYTES:
+        if self.body.size + len(data) > MAX_BODY_BYTES:
             self.fail(CONTENT_TOO_LARGE)
-            return self._sink.body_too_large()
-        if not self.body_bytes:
-            self.body = data
-        else:
-            if isinstance(self.body, bytes):
-                self.body = bytearray(self.body)
-            self.body += data
-        self.body_bytes = size
-        self._sink.body_received(len(data))
+            return
+        if self.body is EMPTY_BODY:
+            self.body = Body()
+        self.body.add(data)
 
     def on_message_complete(self) -> None:
         """Report the request, unless it is invalid: its last byte has been read."""
         self.in_message = False
-        self.head_bytes = 0
+        self.bytes_without_body = 0
         if not self.error:
             self._sink.request_completed()
+        if not self.error:
+            self.drop_request()
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -16,7 +16,8 @@
 from test_endings import LINGER_RESET, connect_raw
 
 from quartzford.engine.pending_request import Attempt
-from quartzford.fronts.client_connection import HANGUP_EVENTS
+from quartzford.fronts import client_input
+from quartzford.fronts.client_input import HANGUP_EVENTS
 from quartzford.fronts.exchange import Exchange
 
 
@@ -86,6 +87,8 @@
             elif where == "wait":
                 testbed.update(testbed.list_row(0, "draining"), testbed.list_row(1, "draining"))
                 await wait_until(lambda: not testbed.node.engine.balancer.ready)
+            if where == "unread":
+                monkeypatch.setattr(client_input, "MAX_QUEUED_BYTES", 100)
             sock = disconnect_at.client = await connect_raw(testbed)
             sock.send(requests({"pipelined": 2, "unread": 40}.get(where, 1)))
             if where == "wait":
