Upgrades: an ID that is open in one process is refused by the other one, too

Callers saw a request run twice when its ID came to the other process of an upgrade: while the first was open, after its client had left, and through a connection that the old process still served.

Cause: each process knew the IDs of its own requests alone. Change: the predecessor announces its IDs with the listener; from then on both announce each ID that they claim and read the other's announcements first (RequestIdsClaimed, RequestIdLink). Versions that can't are told by a flag in Hello and ListenerTransfer, which is omitted if false, so that their bytes stay as they were.

--- a/quartzford/engine/core.py
+++ b/quartzford/engine/core.py
@@ -73,6 +73,8 @@
         self.classes = {c.name: c for c in settings.classes}
         self.request_counters.classes = self.classes
         self.max_deadline_ms = max(c.deadline_ms for c in settings.classes)
+        # How long another process refuses the ID of a request that is open in this one.
+        self.id_retention_s = self.max_deadline_ms / 1000.0 + RETENTION_S
 
     def reconfigure(self, settings: io.Settings) -> None:
         """Apply new settings. Requests in flight continue, and the learned state is kept."""
@@ -188,11 +190,6 @@
         """Claim the correlation ID of a complete request; False if another request has it, see RequestIds."""
         return self.request_ids.claim(identity, self.id_retention_s)
 
-    @property
-    def id_retention_s(self) -> float:
-        """The seconds for which another process refuses the ID of a request that is open in this one."""
-        return self.max_deadline_ms / 1000.0 + RETENTION_S
-
     def next_number(self) -> int:
         """Return a number that no pending request has."""
         self._last_number = (self._last_number + 1) % REQUEST_NUMBER_COUNT
--- a/quartzford/engine/request_ids.py
+++ b/quartzford/engine/request_ids.py
@@ -78,7 +78,7 @@
         return times
 
     def _is_taken(self, key: str) -> bool:
-        return key in self._open or self._retained.get(key, 0.0) > self._now()
+        return key in self._open or (key in self._retained and self._retained[key] > self._now())
 
     def _retain(self, key: str, until: float) -> None:
         retained = self._retained
--- a/quartzford/replaceable_node.py
+++ b/quartzford/replaceable_node.py
@@ -57,6 +57,7 @@
         config = control.config
         path = balancer_path(str(Path(folder).resolve()), config.name, config.listen)
         self.handover = Handover(self, path, control.clock, control.log, control.loop)
+        control.engine.request_ids.paired_process = self.handover
         self.predecessor_busy_clients = 0  # its client connections with an open request
 
     def limits(self, config: Config) -> ResourceLimits:
@@ -117,7 +118,9 @@
         self.front.draining = False  # idle connections are handed over, not closed
         self.apply_limits()
         busy_clients = sum(not client.idle() for client in self.front.clients)
-        return HandoverOffer(listener, capture_state(self.control, busy_clients))
+        engine = self.control.engine
+        request_ids = engine.request_ids.unexpired(engine.id_retention_s)
+        return HandoverOffer(listener, capture_state(self.control, busy_clients), request_ids)
 
     def resume_serving(self) -> None:
         """Accept connections again after the successor was lost."""
@@ -150,6 +153,10 @@
 
     # ---- in both roles
 
+    def adopt_request_id(self, identity: str, retention_s: float) -> None:
+        """Refuse a request ID that the other process has claimed, for this many seconds."""
+        self.control.engine.request_ids.adopt(identity, retention_s)
+
     def apply_maintenance(self, endpoint: str, in_maintenance: bool) -> None:
         """Apply a maintenance change of an endpoint that the other process received."""
         self.control.set_maintenance(endpoint, in_maintenance)
--- a/quartzford/replacement/channel.py
+++ b/quartzford/replacement/channel.py
@@ -108,7 +108,15 @@
             if not self.open or not self._receive():
                 return
 
-    def _receive(self) -> bool:
+    def receive_now(self, handle_now: Callable[[Message], bool]) -> None:
+        """Read all messages that have arrived, and report them in the next iteration of the event loop.
+
+        handle_now: returns whether it has handled a message, which is not reported then.
+        """
+        while self.open and self._receive(handle_now):
+            pass
+
+    def _receive(self, handle_now: Callable[[Message], bool] | None = None) -> bool:
         """Read one message and report it. Return False if there is no message or the channel was closed."""
         try:
             data, descriptors, flags, _ = socket.recv_fds(self._sock, MAX_MESSAGE_BYTES + 1, MAX_DESCRIPTORS)
@@ -126,7 +134,10 @@
             close_descriptors(descriptors)
             self.close(str(error))
             return False
-        self._on_message(self, message, descriptors)
+        if handle_now is None:
+            self._on_message(self, message, descriptors)
+        elif not handle_now(message):
+            self._loop.call_soon(self._on_message, self, message, descriptors)
         return True
 
     def close(self, reason: str) -> None:
--- a/quartzford/replacement/handover.py
+++ b/quartzford/replacement/handover.py
@@ -59,6 +59,16 @@
         """Whether a predecessor or a successor of this process is connected at present."""
         return self.successor_side.channel is not None or self.predecessor_side.channel is not None
 
+    def announce_request_id(self, identity: str, retention_s: float) -> None:
+        """Have the other process refuse a request ID that is claimed here, for this many seconds."""
+        for side in (self.successor_side, self.predecessor_side):
+            side.request_ids.announce({identity: retention_s})
+
+    def receive_announcements(self) -> None:
+        """Adopt the request IDs that the other process has announced so far."""
+        for side in (self.successor_side, self.predecessor_side):
+            side.request_ids.receive()
+
     def publish_maintenance(self, endpoint: str, in_maintenance: bool, all_endpoints: Set[str]) -> None:
         """Pass an operator's maintenance change on to the other process and write it to the maintenance file.
 
--- a/quartzford/replacement/messages.py
+++ b/quartzford/replacement/messages.py
@@ -13,17 +13,25 @@
 MAX_MESSAGE_BYTES = 48 * 1024
 
 
-class Hello(msgspec.Struct, tag="hello"):
-    """Sent by a successor that needs only the predecessor's listening socket and state to serve."""
+class Hello(msgspec.Struct, tag="hello", omit_defaults=True):
+    """Sent by a successor that needs only the predecessor's listening socket and state to serve.
+
+    shares_request_ids: it reads RequestIdsClaimed; an earlier version, which omits the field, does not.
+    """
 
     state_format: int = msgspec.field(name="format")
     process_id: int = msgspec.field(name="pid")
+    shares_request_ids: bool = msgspec.field(name="ids", default=False)
+
 
+class ListenerTransfer(msgspec.Struct, tag="listener", omit_defaults=True):
+    """Sent to the successor with the listening socket. part_count: the number of state parts that follow.
 
-class ListenerTransfer(msgspec.Struct, tag="listener"):
-    """Sent to the successor with the listening socket. part_count: the number of state parts that follow."""
+    shares_request_ids: the predecessor reads RequestIdsClaimed, as in Hello.
+    """
 
     part_count: int = msgspec.field(name="parts")
+    shares_request_ids: bool = msgspec.field(name="ids", default=False)
 
 
 class StatePart(msgspec.Struct, tag="part"):
@@ -52,7 +60,25 @@
     in_maintenance: bool = msgspec.field(name="out")
 
 
-Message = Hello | ListenerTransfer | StatePart | Serving | Heartbeat | ClientTransfer | MaintenanceUpdate
+class RequestIdsClaimed(msgspec.Struct, tag="ids"):
+    """Sent in both directions: the receiver refuses requests with these IDs.
+
+    retention_s: for how many seconds it does so, by ID.
+    """
+
+    retention_s: dict[str, float] = msgspec.field(name="ids")
+
+
+Message = (
+    Hello
+    | ListenerTransfer
+    | StatePart
+    | Serving
+    | Heartbeat
+    | ClientTransfer
+    | MaintenanceUpdate
+    | RequestIdsClaimed
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/quartzford/replacement/predecessor_side.py
+++ b/quartzford/replacement/predecessor_side.py
@@ -16,10 +16,12 @@
     ListenerTransfer,
     MaintenanceUpdate,
     Message,
+    RequestIdsClaimed,
     Serving,
     StatePart,
 )
 from quartzford.replacement.replaceable import ReplaceableBalancer
+from quartzford.replacement.request_id_link import RequestIdLink
 from quartzford.replacement.state import split_state
 from quartzford.replacement.state_machine import (
     HandoverAction,
@@ -50,6 +52,7 @@
         """socket_path: the Unix socket to which a successor connects."""
         self.channel: Channel | None = None  # to the successor, while one is connected
         self.listener: socket.socket | None = None
+        self.request_ids = RequestIdLink(balancer)
         self._balancer = balancer
         self._socket_path = socket_path
         self._clock = clock
@@ -111,21 +114,24 @@
         close_descriptors(descriptors)
         self._last_message_at = self._clock.now()
         match message:
-            case Hello(process_id=process_id):
-                self._begin_handover(channel, process_id)
+            case Hello(process_id=process_id, shares_request_ids=shares_request_ids):
+                self._begin_handover(channel, process_id, shares_request_ids)
             case Serving() if channel is self.channel:
                 self._state_machine.handle(HandoverEvent.SUCCESSOR_SERVES)
             case MaintenanceUpdate(endpoint=endpoint, in_maintenance=in_maintenance):
                 if channel is self.channel:
                     self._balancer.apply_maintenance(endpoint, in_maintenance)
+            case RequestIdsClaimed():
+                self.request_ids.handle(message)
 
-    def _begin_handover(self, channel: Channel, process_id: int) -> None:
+    def _begin_handover(self, channel: Channel, process_id: int, shares_request_ids: bool) -> None:
         if self.channel is not None and self._state_machine.state in STARTING_STATES:
             self.channel.close("a newer successor connected")  # the earlier one does not serve yet
         if self.channel is not None:
             channel.close("another successor is already connected")
             return
         self.channel = channel
+        self.request_ids.channel = channel if shares_request_ids else None
         self._log.line("replacement", f"handover to process {process_id} begins")
         if not self._state_machine.handle(HandoverEvent.SUCCESSOR_CONNECTED):
             channel.close("no handover is possible in the present state")
@@ -135,6 +141,7 @@
         if channel is not self.channel:
             return
         self.channel = None
+        self.request_ids.channel = None
         self._balancer.transfer_clients(None)
         if self._state_machine.handle(HandoverEvent.SUCCESSOR_LOST):
             self._log.line("replacement", f"the successor is lost: {reason}")
@@ -174,7 +181,9 @@
             return
         channel = self.channel
         parts = split_state(offer.state)
-        channel.send(ListenerTransfer(len(parts)), [offer.listener.fileno()])
+        self.request_ids.announce(offer.request_ids)  # before the successor can accept a request
+        shares_request_ids = self.request_ids.channel is not None
+        channel.send(ListenerTransfer(len(parts), shares_request_ids), [offer.listener.fileno()])
         for number, data in enumerate(parts):
             channel.send(StatePart(number, data))
 
--- a/quartzford/replacement/replaceable.py
+++ b/quartzford/replacement/replaceable.py
@@ -10,10 +10,14 @@
 
 
 class HandoverOffer(NamedTuple):
-    """What a predecessor hands over: its listening socket and its state at that time."""
+    """What a predecessor hands over: its listening socket and its state at that time.
+
+    request_ids: the IDs that the successor refuses, each with the seconds for which it does so.
+    """
 
     listener: socket.socket
     state: BalancerState
+    request_ids: dict[str, float]
 
 
 class HandoverResult(NamedTuple):
@@ -50,5 +54,8 @@
     def apply_maintenance(self, endpoint: str, in_maintenance: bool) -> None:
         """Apply a maintenance change that an operator made at the other process."""
 
+    def adopt_request_id(self, identity: str, retention_s: float) -> None:
+        """Refuse an ID that the other process has claimed, for this many seconds."""
+
     def use_full_limits(self) -> None:
         """Use the full limits of memory and descriptors because the predecessor has exited."""
--- a/quartzford/replacement/successor_side.py
+++ b/quartzford/replacement/successor_side.py
@@ -16,10 +16,12 @@
     ListenerTransfer,
     MaintenanceUpdate,
     Message,
+    RequestIdsClaimed,
     Serving,
     StatePart,
 )
 from quartzford.replacement.replaceable import HandoverResult, ReplaceableBalancer
+from quartzford.replacement.request_id_link import RequestIdLink
 from quartzford.replacement.state import MAX_STATE_BYTES, STATE_FORMAT, decode_state
 from quartzford.replacement.unix_socket import connect_to
 
@@ -93,6 +95,7 @@
     ) -> None:
         """socket_path: the Unix socket on which a predecessor listens."""
         self.channel: Channel | None = None  # to the predecessor, while it is connected
+        self.request_ids = RequestIdLink(balancer)
         self._balancer = balancer
         self._socket_path = socket_path
         self._clock = clock
@@ -109,7 +112,7 @@
         self._result = self._loop.create_future()
         channel = Channel(sock, self._loop, self._receive, self._channel_closed)
         self.channel = channel
-        channel.send(Hello(STATE_FORMAT, os.getpid()))
+        channel.send(Hello(STATE_FORMAT, os.getpid(), shares_request_ids=True))
         try:
             return await asyncio.wait_for(self._result, HANDOVER_TIMEOUT_S)
         except TimeoutError:
@@ -137,16 +140,19 @@
             self.channel.send(Heartbeat())
             self._clock.call_later(HEARTBEAT_INTERVAL_S, self._send_heartbeat)
 
-    def _receive(self, _channel: Channel, message: Message, descriptors: list[int]) -> None:
+    def _receive(self, channel: Channel, message: Message, descriptors: list[int]) -> None:
         match message:
             case ListenerTransfer(part_count=count) if len(descriptors) == 1 and not self._transfer.started:
                 self._transfer.start(descriptors.pop(), count)
+                self.request_ids.channel = channel if message.shares_request_ids else None
             case StatePart(data=data):
                 self._transfer.add_part(data)
             case ClientTransfer() if len(descriptors) == 1:
                 self._balancer.adopt_client(socket.socket(fileno=descriptors.pop()))
             case MaintenanceUpdate(endpoint=endpoint, in_maintenance=in_maintenance):
                 self._balancer.apply_maintenance(endpoint, in_maintenance)
+            case RequestIdsClaimed():
+                self.request_ids.handle(message)
         close_descriptors(descriptors)
         if self._transfer.complete and self._result is not None and not self._result.done():
             self._result.set_result(self._take_over())
@@ -168,6 +174,7 @@
             self._log.line("replacement", f"the handover from the predecessor is incomplete: {reason}")
             self._result.set_result(None)
         self.channel = None
+        self.request_ids.channel = None
         self._balancer.use_full_limits()
 
     def stop(self) -> None:
