--- a/quartzford/backends/upstream_connection.py
+++ b/quartzford/backends/upstream_connection.py
@@ -81,6 +81,7 @@
         "idle_since",
         "flushed",
         "reused",
+        "_read_buffer",
     )
     transport: asyncio.Transport
 
@@ -92,6 +93,7 @@
         self.idle_since = 0.0
         self.flushed = False
         self.reused = False
+        self._read_buffer = owner.read_buffer
 
     @property
     def status(self) -> int:
@@ -207,11 +209,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the memory for the next read."""
-        return self.owner.read_buffer.writable()
+        return self._read_buffer.writable()
 
     def buffer_updated(self, size: int) -> None:
         """Parse bytes of the response; close the connection if it is idle."""
-        data = self.owner.read_buffer.read(size)
+        data = self._read_buffer.read(size)
         attempt = self.attempt
         response = self.response
         if attempt is None or response is None:
--- a/quartzford/fronts/client_connection.py
+++ b/quartzford/fronts/client_connection.py
@@ -252,7 +252,8 @@
     def _wait_for_request(self) -> None:
         """Read the next request, which may be short, even if there is no memory for a long body."""
         self.paused_at = 0.0
-        self.advance()
+        if self.has_input():
+            self.advance()
         if self.front.transfer_to_successor is not None:
             self.front.clock.call_soon(self.front.offer, self)  # after the response is flushed
 
@@ -267,7 +268,7 @@
             return
         self.closing = True
         self.release_input()
-        self.front.resume_reading(self)
+        self.update_reading()
         self.lingering = LingeringClose(self.transport, self.front.now())
 
     # ---- closing, by the front
--- a/quartzford/fronts/client_input.py
+++ b/quartzford/fronts/client_input.py
@@ -53,9 +53,11 @@
         "lingering",
         "paused_at",
         "arrived_at",
+        "_read_buffer",
         "_queue",
         "_charge",
         "_unread_since",
+        "_reading_paused",
         "_advancing",
         "_turn_ended",
     )
@@ -72,9 +74,11 @@
         self.lingering: LingeringClose | None = None
         self.paused_at = 0.0
         self.arrived_at = self.message_started  # of the bytes that are being parsed
+        self._read_buffer = front.read_buffer
         self._queue = InputQueue()
         self._charge = Charge(front.budget)
         self._unread_since = 0.0  # since when bytes may wait with the system, 0 if all have been read
+        self._reading_paused = False
         self._advancing = False
         self._turn_ended = False  # the rest of the queue is parsed in the next turn of the event loop
 
@@ -85,6 +89,10 @@
         """Whether a part of a request has been received, but not all of it."""
         return self.reader.in_message or bool(self._queue.size)
 
+    def has_input(self) -> bool:
+        """Return whether bytes wait to be parsed, or reading is paused."""
+        return bool(self._queue.size) or self._reading_paused
+
     @property
     def error(self) -> int:
         """Return the status code for invalid input on this connection, 0 if all input was valid."""
@@ -114,7 +122,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the memory for the next read."""
-        return self.front.read_buffer.writable()
+        return self._read_buffer.writable()
 
     def buffer_updated(self, size: int) -> None:
         """Take bytes that were read; reject the input if it is invalid and no earlier response is due."""
@@ -126,11 +134,13 @@
         self.last_progress = now
         if self.reader.error:
             return
-        data = self.front.read_buffer.read(size)
+        arrived_at = now
+        if self._unread_since:
+            arrived_at = self._unread_since
+            if size < len(self._read_buffer.writable()):
+                self._unread_since = 0.0
         self._charge.add(size)
-        self._queue.add(data, self._unread_since or now)
-        if size < len(self.front.read_buffer.writable()):
-            self._unread_since = 0.0
+        self._queue.add(self._read_buffer.read(size), arrived_at)
         self.advance()
 
     # ---- parsing
@@ -149,7 +159,7 @@
         if units_left <= 0 and not self._turn_ended:
             self._turn_ended = True
             self.front.clock.call_soon(self._next_turn)
-        self._update_reading()
+        self.update_reading()
 
     def _next_turn(self) -> None:
         self._turn_ended = False
@@ -216,7 +226,7 @@
     def pause_for_memory(self) -> None:
         """Parse no more of the input until there is memory."""
         self.paused_at = self.paused_at or self.front.now()
-        self._update_reading()
+        self.update_reading()
 
     def end_memory_pause(self) -> None:
         """Resume parsing if it was paused for lack of memory."""
@@ -224,24 +234,28 @@
             self.paused_at = 0.0
             self.advance()
 
-    def _update_reading(self) -> None:
+    def update_reading(self) -> None:
         """Pause or resume reading, by what prevents that the bytes already read are parsed."""
-        if self.transport.is_closing():
-            return
-        if not self._may_read():
+        if self._may_read():
+            if not self._reading_paused or self.transport.is_closing():
+                return
+            self._reading_paused = False
+            self.front.resume_reading(self)
+            if not self._has_event(select.POLLIN):
+                self._unread_since = 0.0
+        elif not self._reading_paused and not self.transport.is_closing():
+            self._reading_paused = True
             self._unread_since = self._unread_since or self.front.now()
             self.front.pause_reading(self)
-        elif self.front.resume_reading(self) and not self._has_event(select.POLLIN):
-            self._unread_since = 0.0
 
     def _may_read(self) -> bool:
         if self.closing:
             return True
         if self.paused_at or self._turn_ended or self.reader.error:
             return False
-        if self.front.budget.is_exhausted():
-            return not self._queue.size
-        return self._queue.size < MAX_QUEUED_BYTES
+        if not self._queue.size:
+            return True
+        return self._queue.size < MAX_QUEUED_BYTES and not self.front.budget.is_exhausted()
 
     # ---- RequestSink: events of the request reader
 
--- a/quartzford/fronts/client_owner.py
+++ b/quartzford/fronts/client_owner.py
@@ -33,8 +33,8 @@
     def pause_reading(self, client: Any) -> None:
         """Stop reading from the client; its bytes stay in the kernel's buffer."""
 
-    def resume_reading(self, client: Any) -> bool:
-        """Resume reading from the client; return whether it was paused."""
+    def resume_reading(self, client: Any) -> None:
+        """Resume reading from the client, which was paused."""
 
     def offer(self, client: Any) -> None:
         """Hand the connection over to the successor if there is one and the connection is transferable."""
--- a/quartzford/fronts/http_front.py
+++ b/quartzford/fronts/http_front.py
@@ -162,20 +162,15 @@
 
     def pause_reading(self, client: Client) -> None:
         """Stop reading from a client, and poll for its disconnect, which the loop does not report then."""
-        if client in self.paused_clients:
-            return
         client.transport.pause_reading()
         if not self.paused_clients:
             self.clock.call_later(DISCONNECT_CHECK_INTERVAL_S, self._check_paused)
         self.paused_clients[client] = None
 
-    def resume_reading(self, client: Client) -> bool:
-        """Resume reading from a client; return whether it was paused."""
-        if client not in self.paused_clients:
-            return False
-        del self.paused_clients[client]
+    def resume_reading(self, client: Client) -> None:
+        """Resume reading from a client, which was paused."""
+        self.paused_clients.pop(client, None)
         client.transport.resume_reading()
-        return True
 
     def _check_paused(self) -> None:
         for client in list(self.paused_clients):
