A client that has left is noticed behind up to 8 MiB of requests that wait

Callers saw a further attempt for a client that had closed its connection 0.4 s before, where it had sent much that was unread.

Cause: behind a full pipeline nothing was read on, the system's buffers were full, and the FIN was held back at the client. Change: bytes behind requests that wait are queued, charged and unparsed, up to 8 MiB while half of the account is free.

The new test fails with a queue of 256 KiB and passes.

--- a/quartzford/fronts/client_input.py
+++ b/quartzford/fronts/client_input.py
@@ -19,8 +19,10 @@
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # A connection may hold as much of its input even while the budget is exhausted: short requests are served.
 RESERVED_BYTES = 32 * 1024
-# Bytes are read on behind requests that wait, so that the end of the connection is noticed behind them.
-MAX_QUEUED_BYTES = 256 * 1024
+# Bytes are read on behind requests that wait: the end of the connection can't be seen behind bytes that the
+# system has no room for.
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
+MAX_BUDGET_SHARE = 0.5  # of the budget that may be in use for that
 SLICE_BYTES = 4 * 1024  # parsed at once, which limits the number of requests that a slice holds
 SHORT_SLICE_BYTES = 512  # the same while the budget is exhausted
 # What one connection may do in a turn of the event loop: requests, fields and pieces of bodies that are
@@ -255,7 +257,8 @@
             return False
         if not self._queue.size:
             return True
-        return self._queue.size < MAX_QUEUED_BYTES and not self.front.budget.is_exhausted()
+        budget = self.front.budget
+        return self._queue.size < MAX_QUEUED_BYTES and budget.used < MAX_BUDGET_SHARE * budget.limit
 
     # ---- RequestSink: events of the request reader
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -6,13 +6,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import select
 import socket
 from collections.abc import Callable
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, reply, request, requests, responds_with, wait_until
+from peers import (
+    BalancerTestbed,
+    Message,
+    async_test,
+    reply,
+    request,
+    requests,
+    responds_with,
+    wait_until,
+)
 from test_endings import LINGER_RESET, connect_raw
 
 from quartzford.engine.pending_request import Attempt
@@ -127,3 +137,27 @@
         assert (await testbed.submit(request())).status == 503  # there is no other upstream
         assert (await testbed.submit(request())).status == 200
         assert testbed.outcomes() == ["moot", "ok"] and len(testbed.upstreams[0].writers) == 1
+
+
+@async_test
+async def test_client_that_leaves_behind_many_unread_requests_gets_no_further_attempt() -> None:
+    """Guards against retries for a client whose FIN waits behind requests that are not read."""
+    async with BalancerTestbed(2) as testbed:
+        gate = asyncio.Event()
+
+        async def fail_late(message: Message, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(reply(b"", "500 Sorry"))
+
+        for upstream in testbed.upstreams:
+            upstream.script = fail_late
+        sock = await connect_raw(testbed)
+        await wait_until(lambda: testbed.node.front.clients)
+        await asyncio.get_running_loop().sock_sendall(sock, requests(12_000))
+        await wait_until(lambda: forwarded_count(testbed) == 1)
+        sock.close()
+        await wait_until(lambda: not testbed.node.engine.pending_requests)
+        assert testbed.node.engine.counts["client gone"] == 1 and testbed.outcomes() == ["cancelled"]
+        gate.set()
+        await wait_until(lambda: not testbed.node.front.clients)
+        assert forwarded_count(testbed) == 1 and testbed.node.budget.used == 0
