Of two upstreams at one address only the one that started last is used

Callers saw requests for an upstream that had gone reach the new process at its address, in another cell, until the list said that the old one had gone.

Cause: the list was kept by name alone; a name stood for whatever listened at its address. Change: AddressOwners, before the registry, the connections and the decisions get a list; late news of the old one, and two that started at the same time, are handled.

With the call taken out, all tests of tests/test_address_owners.py on sockets fail.

--- a/quartzford/control.py
+++ b/quartzford/control.py
@@ -14,6 +14,7 @@
 
 from quartzford.decision import interface as io
 from quartzford.engine import Clock, Engine, Log
+from quartzford.membership.address_owners import AddressOwners
 from quartzford.membership.addresses import Address, Addresses, RelayAddresses, SingleAddress
 from quartzford.membership.call_policy import (
     AgentCallPolicy,
@@ -78,6 +79,7 @@
         self.followers: list[Follower] = []
         self.pending = ListingQueue()
         self.registry = Registry()
+        self.address_owners = AddressOwners()
         self.start_times = StartTimes()
         self._inherited_known_ms = -math.inf  # last confirmation of the list, by the predecessor
         self.first_list_adopted = asyncio.Event()  # the first list or changes have been applied
@@ -226,6 +228,7 @@
                     self.snapshot_writer.list_changed()
 
     def _apply(self, listing: Listing, kind: str) -> None:
+        listing = self.address_owners.apply(listing)
         self.registry.apply(listing)
         masked = self.registry.mask_maintenance(listing, self.engine.balancer.in_maintenance)
         for follower in self.followers:
