Tests: what one connection may do in a turn of the event loop is limited

Callers saw answers that came late or never while one client sent health checks, requests with no time left or one-byte chunks at full speed. Cause: all of a read was parsed and served in one turn, and a request answered at once called for the next.

The recursion's test fails on the code before for requests that are answered at once.

--- /dev/null
+++ b/tests/test_turn_limits.py
@@ -0,0 +1,93 @@
+"""What one connection may do in a turn of the event loop is limited, whatever its client sends."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+import uvloop
+from peers import BalancerTestbed, async_test, read_message, request, requests, wait_until
+from test_endings import connect_raw
+
+from quartzford.fronts.client_connection import Client
+from quartzford.fronts.client_input import MAX_UNITS_PER_TURN, REQUEST_UNITS, SLICE_BYTES
+
+MIN_UNIT_BYTES = 4  # of the shortest field
+HEALTH_CHECK = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
+CHUNKED = request("pay", fields="Transfer-Encoding: chunked\r\n")
+FLOODS: dict[str, bytes] = {
+    "health checks": HEALTH_CHECK * 6000,
+    "requests without time": b"".join(request(time_left="0m") for _ in range(2000)),
+    "requests of unknown classes": b"".join(request(f"class-{n}", time_left="0m") for n in range(2000)),
+    "one-byte chunks": CHUNKED + b"1\r\nx\r\n" * 40_000,
+    "short fields": b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:b\r\n" * 40_000,
+    "requests with one id": request(identity="one") * 2000,
+}
+
+
+class TurnMeter:
+    """Records the most units that one client's connection takes in a turn of the event loop."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.most = self.units_before = self.served = 0
+        self.client: Client | None = None
+        serve_waiting = Client.serve_waiting
+
+        def counting(client: Client) -> bool:
+            served = serve_waiting(client)
+            self.served += served and client is self.client
+            return served
+
+        patch.setattr(Client, "serve_waiting", counting)
+
+    def watch(self, client: Client) -> None:
+        """Measure this client in each turn from now on."""
+        self.client = client
+        self._tick()
+
+    def _tick(self) -> None:
+        assert self.client is not None
+        units = self.client.reader.units + REQUEST_UNITS * self.served
+        self.most = max(self.most, units - self.units_before)
+        self.units_before = units
+        asyncio.get_running_loop().call_soon(self._tick)
+
+
+@pytest.mark.parametrize("what", FLOODS)
+def test_client_at_full_speed_leaves_turns_to_others(what: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one client's small or unsound units holding up the answers to all others."""
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            meter = TurnMeter(monkeypatch)
+            sock = await connect_raw(testbed)
+            await wait_until(lambda: testbed.node.front.clients)
+            (client,) = testbed.node.front.clients
+            meter.watch(client)
+            unsent = FLOODS[what]
+            for number in range(10):
+                with suppress(BlockingIOError, ConnectionError):
+                    unsent = unsent[sock.send(unsent) :]
+                assert (await testbed.submit(request())).status == 200, number
+            await wait_until(lambda: client.closing or not client.in_message or meter.most)
+            assert 0 < meter.most <= MAX_UNITS_PER_TURN + SLICE_BYTES // MIN_UNIT_BYTES
+            sock.close()
+            await wait_until(lambda: client not in testbed.node.front.clients)
+
+    uvloop.run(test())
+
+
+@async_test
+async def test_requests_that_are_answered_at_once_are_all_answered() -> None:
+    """Guards against answers that call for the next request, until the limit of recursion loses some."""
+    async with BalancerTestbed() as testbed:
+        reader, writer = await testbed.connect()
+        writer.write(HEALTH_CHECK * 3000 + requests(500))
+        for _ in range(3000):
+            assert (await asyncio.wait_for(read_message(reader), 5)).status == 200
+        for _ in range(500):
+            assert (await asyncio.wait_for(read_message(reader), 5)).status in (200, 503)
+        writer.close()
+        await wait_until(lambda: not testbed.node.front.clients)
+        assert testbed.node.budget.used == 0
