An address that more than two upstreams have is a shared one

The test of 2,000 rows on a few addresses (tests/test_scale.py) had requests not served: rows that came back with a new start made others at their address gone. Cause: AddressOwners took any later start at an address for a change of hands. Change: only of exactly two upstreams at an address the earlier one is gone; more share it.

Measured: tests/test_scale.py failed 2 of its tests with the rule before, passes; tests/test_address_owners.py passes.

--- a/quartzford/membership/address_owners.py
+++ b/quartzford/membership/address_owners.py
@@ -3,7 +3,7 @@
 An upstream is an incarnation, not an address: a new process may come up at the address of one that has gone
 before the list says that the old one has gone. What was meant for the old one would reach the new one. So of
 two upstreams at one address only the one that started last is used. If both started at the same time, as far
-as the list knows, the address may be a shared one, and both are used.
+as the list knows, or if there are more than two, the address is a shared one, and all are used.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 Address = tuple[str, int]
 Row = tuple[io.Endpoint, Address]
 NO_ADDRESS: Address = ("", 0)
+OLD_AND_NEW = 2  # upstreams at an address that has changed hands
 
 
 class AddressOwners:
@@ -59,7 +60,7 @@
         replaced = []
         for address in addresses:
             starts = self._starts.get(address, {})
-            if len(starts) > 1:
+            if len(starts) == OLD_AND_NEW:
                 latest_ms = max(starts.values())
                 replaced += [name for name, started_ms in starts.items() if started_ms < latest_ms]
         return replaced
--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -88,10 +88,12 @@
     return {entry.server: entry.state for entry in result.entries}
 
 
-def test_upstreams_that_started_at_the_same_time_share_an_address() -> None:
+def test_upstreams_that_started_at_the_same_time_or_are_many_share_an_address() -> None:
     owners = AddressOwners()
     both = listing(("a", 0.0, "ready", 1), ("b", 0.0, "ready", 1))
     assert owners.apply(both) is both
+    third = listing(("c", 5.0, "ready", 1))
+    assert owners.apply(third) is third
 
 
 def test_later_upstream_takes_address_and_early_news_of_it_change_nothing() -> None:
