Test: a request in one write with a refused one is answered in a planned restart

Cause: requests were served while the parser was in the middle of a read, so that the rest of it was not seen when the connection's end was decided.

--- a/tests/test_close_answers.py
+++ b/tests/test_close_answers.py
@@ -237,3 +237,18 @@
         stopping = asyncio.ensure_future(testbed.relay.stop())
         assert await read_status(half) == 503
         await stopping
+
+
+@async_test
+async def test_request_in_one_write_with_a_refused_one_is_answered_in_shutdown() -> None:
+    """Guards against a request that is forwarded after the close that the answer before it announced."""
+    async with BalancerTestbed() as testbed:
+        testbed.node.front.draining = True  # every response is the last of its connection
+        reader, writer = await testbed.connect()
+        writer.write(request(time_left="0m") + request("pay", b"") + request("pay", b""))
+        first = await read_message(reader)
+        assert first.status == 503 and "connection" not in first.fields
+        assert (await read_message(reader)).status == 200
+        last = await read_message(reader)
+        assert last.status == 200 and last.fields["connection"] == "close"
+        assert await reader.read() == b"" and len(testbed.upstreams[0].received) == 2
