Upgrades: no version is handed over while a long list is applied in chunks

Cause: the version is set when a list is read, its rows are applied later, in chunks. Change: while chunks are left the state has no version, so that the successor asks for the whole list.

--- a/quartzford/handover_state.py
+++ b/quartzford/handover_state.py
@@ -47,12 +47,14 @@
     busy_clients: number of client connections with an open request.
     """
     memory = control.engine.hand_over()
+    # The rows of a list that is still applied in chunks are not all of its version.
+    version = None if control.pending.has_chunks() else control.watch.version
     list_known_ms = control.list_known_ms()
     warm_before_ms = control.clock.unix_ms() - control.config.settings.rules.slow_start_ms
     return BalancerState(
         format=STATE_FORMAT,
         listing=control.registry.table(),
-        version=control.watch.version,
+        version=version,
         discovery=list(control.config.discovery),
         discovery_answered=control.watch.ever_answered,
         busy_clients=busy_clients,
--- a/tests/test_list_chunks.py
+++ b/tests/test_list_chunks.py
@@ -15,8 +15,9 @@
 
 from quartzford.decision import interface as io
 from quartzford.decision.logic import Balancer
+from quartzford.handover_state import capture_state
 from quartzford.membership import list_call
-from quartzford.membership.list_chunks import ListingQueue, split_into_chunks
+from quartzford.membership.list_chunks import MAX_CHUNK_ENTRIES, ListingQueue, split_into_chunks
 from quartzford.membership.listing import Listing
 
 NUMBERS = st.integers(0, 30)
@@ -168,3 +169,21 @@
             assert seen == sorted(seen) and len(seen) == 31
 
     test()
+
+
+@async_test
+async def test_state_handed_over_within_a_long_list_has_no_version() -> None:
+    """Guards against a successor that is never told the rest of a change: it sent to upstreams that drain."""
+    async with BalancerTestbed() as testbed:
+        control = testbed.node.control
+        assert capture_state(control, 0).version == control.watch.version is not None
+        control.engine.cancel_handover()
+        names = [make_endpoint(number) for number in range(3 * MAX_CHUNK_ENTRIES)]
+        change = Listing(control.watch.version + 1, False, tuple(names), (("s", 1),) * len(names))
+        control.watch.version = change.version
+        control.listed(change)
+        assert control.pending.has_chunks()
+        assert capture_state(control, 0).version is None
+        control.engine.cancel_handover()
+        await wait_until(lambda: not control.pending.has_chunks())
+        assert capture_state(control, 0).version == change.version
