Input of clients: short reads skip the queue; one timer for all paused clients

A client at full speed is paused in each turn, and each pause began a chain of disconnect checks of its own; an upload that was paused for memory had its time counted from the pause. Found by reading the change again, tests added for both.

Change: one check at a time; only what arrives behind waiting requests counts from a pause; a read that fits a slice is parsed at once; the ID is read once a request.

--- a/quartzford/fronts/client_input.py
+++ b/quartzford/fronts/client_input.py
@@ -10,7 +10,7 @@
 from quartzford.engine import Charge
 from quartzford.fronts import responses
 from quartzford.fronts.client_owner import ClientOwner
-from quartzford.fronts.input_queue import InputQueue
+from quartzford.fronts.input_queue import InputQueue, Piece
 from quartzford.fronts.pipeline import Pipeline
 from quartzford.fronts.request_reader import RequestReader
 from quartzford.protocols.lingering import LingeringClose
@@ -141,8 +141,12 @@
             arrived_at = self._unread_since
             if size < len(self._read_buffer.writable()):
                 self._unread_since = 0.0
-        self._charge.add(size)
-        self._queue.add(self._read_buffer.read(size), arrived_at)
+        data = self._read_buffer.read(size)
+        if not self._queue.size and size <= self._slice_bytes() and self._may_parse():
+            self._parse(Piece(data, arrived_at))
+        else:
+            self._charge.add(size)
+            self._queue.add(data, arrived_at)
         self.advance()
 
     # ---- parsing
@@ -173,18 +177,25 @@
             return 0
         if self.serve_waiting():
             return REQUEST_UNITS
-        if self._may_parse():
-            return self._parse_slice()
+        if self._queue.size and self._may_parse():
+            return self._parse(self._queue.take(self._slice_bytes()))
         return 0
 
+    def _slice_bytes(self) -> int:
+        return SHORT_SLICE_BYTES if self.front.budget.is_exhausted() else SLICE_BYTES
+
     def _may_parse(self) -> bool:
-        return bool(self._queue.size) and not (
-            self.reader.error or self.pipelined_requests.full or self.paused_at or self.write_blocked
+        return not (
+            self.reader.error
+            or self.pipelined_requests.full
+            or self.paused_at
+            or self.write_blocked
+            or self._turn_ended
         )
 
-    def _parse_slice(self) -> int:
-        exhausted = self.front.budget.is_exhausted()
-        data, self.arrived_at = self._queue.take(SHORT_SLICE_BYTES if exhausted else SLICE_BYTES)
+    def _parse(self, piece: Piece) -> int:
+        """Parse bytes and charge what is held of them; return their units."""
+        data, self.arrived_at = piece
         if not self.reader.in_message:
             self.message_started = self.front.now()
             self.reader.begin_message()
@@ -247,7 +258,8 @@
                 self._unread_since = 0.0
         elif not self._reading_paused and not self.transport.is_closing():
             self._reading_paused = True
-            self._unread_since = self._unread_since or self.front.now()
+            if self.pipelined_requests:  # what arrives behind them is a request of its own
+                self._unread_since = self._unread_since or self.front.now()
             self.front.pause_reading(self)
 
     def _may_read(self) -> bool:
--- a/quartzford/fronts/http_front.py
+++ b/quartzford/fronts/http_front.py
@@ -48,6 +48,7 @@
         self.listener: Listener | None = None
         self.transfer_to_successor: Callable[[int], bool] | None = None
         self.paused_clients: dict[Client, None] = {}
+        self._check_scheduled = False
 
     # ---- the listener
 
@@ -163,20 +164,24 @@
     def pause_reading(self, client: Client) -> None:
         """Stop reading from a client, and poll for its disconnect, which the loop does not report then."""
         client.transport.pause_reading()
-        if not self.paused_clients:
-            self.clock.call_later(DISCONNECT_CHECK_INTERVAL_S, self._check_paused)
         self.paused_clients[client] = None
+        self._schedule_check()
 
     def resume_reading(self, client: Client) -> None:
         """Resume reading from a client, which was paused."""
         self.paused_clients.pop(client, None)
         client.transport.resume_reading()
 
+    def _schedule_check(self) -> None:
+        if self.paused_clients and not self._check_scheduled:
+            self._check_scheduled = True
+            self.clock.call_later(DISCONNECT_CHECK_INTERVAL_S, self._check_paused)
+
     def _check_paused(self) -> None:
+        self._check_scheduled = False
         for client in list(self.paused_clients):
             client.end_if_disconnected()
-        if self.paused_clients:
-            self.clock.call_later(DISCONNECT_CHECK_INTERVAL_S, self._check_paused)
+        self._schedule_check()
 
     # ---- all connections
 
--- a/quartzford/fronts/request_reader.py
+++ b/quartzford/fronts/request_reader.py
@@ -97,6 +97,7 @@
         "fields",
         "fields_bytes",
         "values",
+        "correlation_id",
         "body",
         "chunked",
         "units",
@@ -113,6 +114,7 @@
         self.fields = bytearray()
         self.fields_bytes = 0
         self.values: dict[bytes, str] = {}
+        self.correlation_id = ""
         self.body = EMPTY_BODY
         self.chunked = False
         self.units = 0
@@ -192,11 +194,6 @@
         """Whether the request has no body, no Content-Length and no chunked framing."""
         return not self.body.size and CONTENT_LENGTH not in self.values and not self.chunked
 
-    @property
-    def correlation_id(self) -> str:
-        """The request's correlation ID."""
-        return self.value(CORRELATION_ID).strip()
-
     def value(self, name: bytes) -> str:
         """Return the value of one of READ_FIELDS, "" if the request does not have it."""
         return self.values.get(name, "")
@@ -215,10 +212,9 @@
     # ---- called by httptools
 
     def on_message_begin(self) -> None:
-        """Reset the state of the request: its first byte has been read."""
+        """Note that the first byte of a request has been read; nothing is held of the one before."""
         self.in_head = True
         self.in_message = True
-        self.drop_request()
         self.chunked = False
         self.units += 1
 
@@ -249,6 +245,7 @@
         if self.fields_bytes + len(self.target) > MAX_HEAD_BYTES:
             self.fail(FIELDS_TOO_LARGE)
         self._check_framing()
+        self.correlation_id = self.value(CORRELATION_ID).strip()
         if not self.correlation_id and not self.is_health_check:
             self.fail(BAD_REQUEST)  # upstreams reject requests without a correlation ID
         if EXPECT in self.values and not self.error:
--- a/tests/test_turn_limits.py
+++ b/tests/test_turn_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
@@ -91,3 +92,42 @@
         writer.close()
         await wait_until(lambda: not testbed.node.front.clients)
         assert testbed.node.budget.used == 0
+
+
+@async_test
+async def test_pauses_of_reading_share_one_check_for_disconnects() -> None:
+    """Guards against a timer for each turn in which a client at full speed is paused."""
+    async with BalancerTestbed() as testbed:
+        front = testbed.node.front
+        sock = await connect_raw(testbed)
+        await wait_until(lambda: front.clients)
+        (client,) = front.clients
+        scheduled: list[object] = []
+        call_later = front.clock.call_later
+
+        def counting_call_later(delay: float, callback: Callable[..., object], *args: object) -> object:
+            scheduled.append(callback)
+            return call_later(delay, callback, *args)
+
+        front.clock.call_later = counting_call_later  # type: ignore[assignment]
+        for _ in range(50):
+            front.pause_reading(client)
+            front.resume_reading(client)
+        assert scheduled.count(front._check_paused) == 1
+        sock.close()
+
+
+@async_test
+async def test_request_behind_a_pause_for_memory_has_the_time_that_it_states() -> None:
+    """Guards against an upload whose time is counted from a pause that it has outlasted."""
+    async with BalancerTestbed() as testbed:
+        reader, writer = await testbed.connect()
+        data = request("pay", b"b" * 2_000_000, time_left="400m")
+        writer.write(data[:1_000_000])
+        await wait_until(lambda: any(client.reader.body.size for client in testbed.node.front.clients))
+        (client,) = testbed.node.front.clients
+        client.pause_for_memory()
+        await asyncio.sleep(0.5)  # longer than the request's time
+        writer.write(data[1_000_000:])
+        client.end_memory_pause()
+        assert (await asyncio.wait_for(read_message(reader), 5)).status == 200
