Tests: two that did not fail without their fixes now force the order that does

Its health checks were never queued; they now wait behind a request that is being served. The budget is now kept exhausted meanwhile, and every read finds more behind it.

Upload: 503 without the fix, 200 with it.

--- a/tests/test_turn_limits.py
+++ b/tests/test_turn_limits.py
@@ -8,9 +8,11 @@
 
 import pytest
 import uvloop
-from peers import BalancerTestbed, async_test, read_message, request, requests, wait_until
+from peers import BalancerTestbed, async_test, read_message, request, wait_until
 from test_endings import connect_raw
+from test_reading_resumes import connect_waiting_client
 
+from quartzford.engine import read_buffer
 from quartzford.fronts.client_connection import Client
 from quartzford.fronts.client_input import MAX_UNITS_PER_TURN, REQUEST_UNITS, SLICE_BYTES
 
@@ -83,13 +85,13 @@
 async def test_requests_that_are_answered_at_once_are_all_answered() -> None:
     """Guards against answers that call for the next request, until the limit of recursion loses some."""
     async with BalancerTestbed() as testbed:
-        reader, writer = await testbed.connect()
-        writer.write(HEALTH_CHECK * 3000 + requests(500))
-        for _ in range(3000):
-            assert (await asyncio.wait_for(read_message(reader), 5)).status == 200
-        for _ in range(500):
-            assert (await asyncio.wait_for(read_message(reader), 5)).status in (200, 503)
-        writer.close()
+        client = await connect_waiting_client(testbed)
+        client.writer.write(HEALTH_CHECK * 1500)  # they wait for the first request's response
+        await wait_until(lambda: client.connection.pipelined_requests.full)
+        client.gate.set()
+        for _ in range(1 + 1500):
+            assert await client.status() == 200
+        client.writer.close()
         await wait_until(lambda: not testbed.node.front.clients)
         assert testbed.node.budget.used == 0
 
@@ -117,17 +119,26 @@
         sock.close()
 
 
-@async_test
-async def test_request_behind_a_pause_for_memory_has_the_time_that_it_states() -> None:
+def test_request_behind_a_pause_for_memory_has_the_time_that_it_states(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against an upload whose time is counted from a pause that it has outlasted."""
-    async with BalancerTestbed() as testbed:
-        reader, writer = await testbed.connect()
-        data = request("pay", b"b" * 2_000_000, time_left="400m")
-        writer.write(data[:1_000_000])
-        await wait_until(lambda: any(client.reader.body.size for client in testbed.node.front.clients))
-        (client,) = testbed.node.front.clients
-        client.pause_for_memory()
-        await asyncio.sleep(0.5)  # longer than the request's time
-        writer.write(data[1_000_000:])
-        client.end_memory_pause()
-        assert (await asyncio.wait_for(read_message(reader), 5)).status == 200
+    monkeypatch.setattr(read_buffer, "READ_BYTES", 1024)  # so that reads find more bytes behind them
+
+    async def test() -> None:
+        async with BalancerTestbed() as testbed:
+            reader, writer = await testbed.connect()
+            data = request("pay", b"b" * 2_000_000, time_left="400m")
+            writer.write(data[:1_000_000])
+            await wait_until(lambda: any(client.reader.body.size for client in testbed.node.front.clients))
+            (client,) = testbed.node.front.clients
+            limit, testbed.node.budget.limit = testbed.node.budget.limit, 0
+            client.pause_for_memory()
+            paused_at = client.paused_at
+            writer.write(data[1_000_000:])  # more than is read at once waits with the system
+            await wait_until(lambda: client.front.now() > paused_at + 0.5)  # longer than the request's time
+            testbed.node.budget.limit = limit
+            client.end_memory_pause()
+            assert (await asyncio.wait_for(read_message(reader), 5)).status == 200
+
+    uvloop.run(test())
